--- /dev/null
+++ b/schema/src/main.rs
@@ -0,0 +1,69 @@
+//! Generates `src/wire/ebonyspread.rs` from `schema/messages.proto`.
+//!
+//! `--check` writes nothing and fails if the committed file is not current.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use prost_build::Config;
+
+const SERDE_TYPES: [&str; 6] = [
+    "Settings",
+    "TableFile",
+    "BackendServerRow",
+    "ModelVersionRow",
+    "RouteRow",
+    "ClientAccountRow",
+];
+
+fn main() -> ExitCode {
+    let check = std::env::args().any(|argument| argument == "--check");
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    match generate(&root, check) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Generates the code; with `check` compares it with the committed file.
+fn generate(root: &Path, check: bool) -> Result<(), String> {
+    let committed = root.join("../src/wire/ebonyspread.rs");
+    let out_dir = std::env::temp_dir().join(format!("ebonyspread-schema-{}", std::process::id()));
+    fs::create_dir_all(&out_dir).map_err(|error| error.to_string())?;
+    let result = generate_into(root, &out_dir);
+    let generated = result.and_then(|()| {
+        fs::read_to_string(out_dir.join("ebonyspread.rs")).map_err(|error| error.to_string())
+    });
+    fs::remove_dir_all(&out_dir).map_err(|error| error.to_string())?;
+    let generated = generated?;
+    if check {
+        let current = fs::read_to_string(&committed).map_err(|error| error.to_string())?;
+        if current != generated {
+            return Err(
+                "src/wire/ebonyspread.rs is not current; run: cargo run -p ebonyspread-schema"
+                    .to_owned(),
+            );
+        }
+        return Ok(());
+    }
+    fs::write(&committed, generated).map_err(|error| error.to_string())
+}
+
+fn generate_into(root: &Path, out_dir: &Path) -> Result<(), String> {
+    let proto = root.join("messages.proto");
+    let descriptors = protox::compile([&proto], [root]).map_err(|error| error.to_string())?;
+    let mut config = Config::new();
+    config.out_dir(out_dir).btree_map(["."]);
+    for name in SERDE_TYPES {
+        config.type_attribute(name, "#[derive(serde::Serialize, serde::Deserialize)]");
+        config.type_attribute(name, "#[serde(default, deny_unknown_fields)]");
+    }
+    config
+        .compile_fds(descriptors)
+        .map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/src/accept.rs
@@ -0,0 +1,269 @@
+//! Callers' HTTP interface: reads requests, checks them and hands them on.
+
+use super::*;
+
+use std::rc::Rc;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use actix_web::web::Payload;
+use actix_web::web::ServiceConfig;
+use tokio::time::timeout;
+
+/// Time for a request's body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest key or event id.
+const KEY_MAX_BYTES: usize = 128;
+
+/// Parts of one worker thread.
+pub struct Worker {
+    /// Shared parts.
+    pub context: Arc<Context>,
+    /// This thread's clients.
+    pub dispatcher: Rc<Dispatcher>,
+}
+
+/// Routes of the callers' listener.
+pub fn configure(config: &mut ServiceConfig) {
+    config
+        .route("/v1/chat/completions", web::post().to(chat))
+        .route("/v1/models", web::get().to(models))
+        .default_service(web::to(plain));
+}
+
+async fn chat(request: HttpRequest, payload: Payload, worker: web::Data<Worker>) -> HttpResponse {
+    let mut request_id = new_request_id();
+    match accept_chat(&request, payload, &worker, &mut request_id).await {
+        Ok(response) => response,
+        Err(error) => error_response(&worker.context, &request_id, &error),
+    }
+}
+
+async fn accept_chat(
+    http: &HttpRequest,
+    payload: Payload,
+    worker: &Worker,
+    request_id: &mut RequestId,
+) -> Result<HttpResponse> {
+    let context = &worker.context;
+    let in_force = context.table.load_full();
+    if in_force.version == 0 {
+        return Err(Error::TableMissing);
+    }
+    let account = classify_account(&in_force.table, header(http, "authorization"))?;
+    let key = read_key(http, "idempotency-key")?;
+    let event = read_event_id(http)?;
+    let body = read_body(payload, context.settings.body_max_bytes).await?;
+    let chat = ChatRequest::parse(&in_force.table, &body)?;
+    if let Some(event) = &event {
+        *request_id = event.request_id.clone();
+    }
+    let (sink, events) = mpsc::channel(SINK_EVENTS);
+    let join = JoinCall {
+        account: account.name,
+        body,
+        chat: chat.clone(),
+        from: event
+            .as_ref()
+            .map(|event| event.position)
+            .unwrap_or_default(),
+        key,
+        request_id: request_id.clone(),
+        returned: event.is_some(),
+        sink,
+    };
+    join_call(worker, join).await?;
+    match chat.stream {
+        true => stream_answer(worker, request_id, &chat, events).await,
+        false => whole_answer(worker, request_id, &chat, events).await,
+    }
+}
+
+/// Lists the models in the usual shape.
+async fn models(request: HttpRequest, worker: web::Data<Worker>) -> HttpResponse {
+    let request_id = new_request_id();
+    let context = &worker.context;
+    let in_force = context.table.load();
+    if let Err(error) = classify_account(&in_force.table, header(&request, "authorization")) {
+        return error_response(context, &request_id, &error);
+    }
+    let mut data = Vec::new();
+    for subject in in_force.table.variants.keys() {
+        let Subject::Model(name) = subject else {
+            continue;
+        };
+        data.push(serde_json::json!({
+            "id": name, "object": "model", "created": 0, "owned_by": "ebonyspread",
+        }));
+    }
+    let list = serde_json::json!({ "object": "list", "data": data });
+    response(200, &request_id, Outcome::Whole).json(list)
+}
+
+async fn plain(request: HttpRequest, payload: Payload, worker: web::Data<Worker>) -> HttpResponse {
+    let request_id = new_request_id();
+    match accept_plain(&request, payload, &worker, &request_id).await {
+        Ok(response) => response,
+        Err(error) => error_response(&worker.context, &request_id, &error),
+    }
+}
+
+async fn accept_plain(
+    http: &HttpRequest,
+    payload: Payload,
+    worker: &Worker,
+    request_id: &RequestId,
+) -> Result<HttpResponse> {
+    let context = &worker.context;
+    let in_force = context.table.load_full();
+    if in_force.version == 0 {
+        return Err(Error::TableMissing);
+    }
+    let account = classify_account(&in_force.table, header(http, "authorization"))?;
+    let (prefix, route) = in_force
+        .table
+        .route_for(http.path())
+        .ok_or(Error::UnknownRoute)?;
+    let key = read_key(http, "idempotency-key")?;
+    let body = read_body(payload, context.settings.body_max_bytes).await?;
+    let call = PlainRequest {
+        account: account.name,
+        body,
+        headers: passed_headers(http),
+        key,
+        method: http.method().clone(),
+        path_and_query: path_and_query(http),
+        request_id: request_id.clone(),
+        route: route.clone(),
+        subject: Subject::Route(prefix.clone()),
+    };
+    serve_plain(worker, call).await
+}
+
+/// Makes the id of a new request; it is also what a returning caller shows, so it cannot be
+/// guessed.
+pub fn new_request_id() -> RequestId {
+    let mut buffer = uuid::Uuid::encode_buffer();
+    let id = uuid::Uuid::new_v4();
+    RequestId::from(&*id.simple().encode_lower(&mut buffer))
+}
+
+/// The event that a returning caller received last.
+struct EventId {
+    position: Position,
+    request_id: RequestId,
+}
+
+/// Writes an event's id: request, tokens, hash of the text.
+pub fn event_id(request_id: &str, position: Position) -> String {
+    format!(
+        "{request_id}.{}.{:016x}",
+        position.tokens, position.text_hash
+    )
+}
+
+fn read_event_id(http: &HttpRequest) -> Result<Option<EventId>> {
+    let Some(text) = read_key(http, "last-event-id")? else {
+        return Ok(None);
+    };
+    let parse = || {
+        let mut parts = text.split('.');
+        let request_id = RequestId::from(parts.next()?);
+        let tokens = parts.next()?.parse().ok()?;
+        let text_hash = u64::from_str_radix(parts.next()?, 16).ok()?;
+        let position = Position { text_hash, tokens };
+        parts.next().is_none().then_some(EventId {
+            position,
+            request_id,
+        })
+    };
+    let event = parse().ok_or_else(|| Error::BadRequest {
+        reason: "Last-Event-ID is not an id of this service; send the last id received".to_owned(),
+    })?;
+    Ok(Some(event))
+}
+
+fn header<'a>(http: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    http.headers().get(name)?.to_str().ok()
+}
+
+fn read_key(http: &HttpRequest, name: &'static str) -> Result<Option<SmolStr>> {
+    let Some(value) = http.headers().get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    let printable = text.bytes().all(|byte| byte.is_ascii_graphic());
+    if text.is_empty() || text.len() > KEY_MAX_BYTES || !printable {
+        return Err(Error::BadRequest {
+            reason: format!("{name} must be 1 to {KEY_MAX_BYTES} printable characters"),
+        });
+    }
+    Ok(Some(text.into()))
+}
+
+async fn read_body(mut payload: Payload, limit_bytes: usize) -> Result<Bytes> {
+    let mut body = BytesMut::new();
+    let read = async {
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|error| Error::BadRequest {
+                reason: format!("body was cut: {error}; send it again"),
+            })?;
+            if body.len() + chunk.len() > limit_bytes {
+                return Err(Error::BodyTooLarge { limit_bytes });
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(())
+    };
+    match timeout(BODY_TIMEOUT, read).await {
+        Ok(result) => result?,
+        Err(_) => {
+            return Err(Error::BadRequest {
+                reason: format!("body took over {} s; send it again", BODY_TIMEOUT.as_secs()),
+            });
+        }
+    }
+    Ok(body.freeze())
+}
+
+/// Headers that belong to a connection or to us and are not passed on.
+const OWN_HEADERS: [&str; 13] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-client-account",
+    FENCING_HEADER,
+];
+
+/// True if a header is passed on between caller and backend server.
+pub fn is_passed_header(name: &str) -> bool {
+    !OWN_HEADERS.contains(&name)
+}
+
+fn passed_headers(http: &HttpRequest) -> Vec<(String, Vec<u8>)> {
+    let mut headers = Vec::new();
+    for (name, value) in http.headers() {
+        if is_passed_header(name.as_str()) && name != REQUEST_ID_HEADER && name != "idempotency-key"
+        {
+            headers.push((name.as_str().to_owned(), value.as_bytes().to_vec()));
+        }
+    }
+    headers
+}
+
+fn path_and_query(http: &HttpRequest) -> String {
+    match http.query_string() {
+        "" => http.path().to_owned(),
+        query => format!("{}?{query}", http.path()),
+    }
+}
--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,197 @@
+//! Administration listener: liveness, readiness, metrics, and the operators' actions.
+
+use super::*;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use actix_web::web::ServiceConfig;
+
+/// Shared part of the listener.
+type Shared = web::Data<AdminContext>;
+
+/// What the administration handlers need.
+pub struct AdminContext {
+    /// Shared parts of the instance.
+    pub context: Arc<Context>,
+    /// Owner of the table's log.
+    pub table: Addr<TableActor>,
+}
+
+/// Status of an instance.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// Data centre.
+    pub data_centre: DataCentreName,
+    /// True while it stops.
+    pub draining: bool,
+    /// Name.
+    pub instance: InstanceName,
+    /// Version of the table in force.
+    pub table_version: TableVersion,
+}
+
+/// Routes of the administration listener.
+pub fn configure(config: &mut ServiceConfig) {
+    config
+        .route("/healthz", web::get().to(live))
+        .route("/readyz", web::get().to(ready))
+        .route("/metrics", web::get().to(metrics))
+        .route("/admin/status", web::get().to(status))
+        .route("/admin/servers", web::get().to(servers))
+        .route("/admin/servers/{server}/drain", web::post().to(drain))
+        .route("/admin/servers/{server}/drain", web::delete().to(undrain))
+        .route("/admin/table", web::get().to(table))
+        .route("/admin/table/history", web::get().to(history))
+        .route("/admin/quarantine", web::get().to(quarantine))
+        .route(
+            "/admin/quarantine/{content_hash}",
+            web::delete().to(release),
+        );
+}
+
+/// Refuses a request without the administration key.
+fn authorize(request: &HttpRequest, context: &Context) -> Result {
+    let value = request.headers().get("authorization");
+    let value = value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let key = value.strip_prefix("Bearer ").unwrap_or_default();
+    // Hashes are compared so that the time does not tell the length of the key.
+    let given = hash_account_key(key);
+    let wanted = hash_account_key(&context.settings.admin_key);
+    match bool::from(given.ct_eq(&wanted)) {
+        true => Ok(()),
+        false => Err(Error::AdminKey),
+    }
+}
+
+/// Runs an action for an authorized operator and answers with its result as JSON.
+async fn answer<T: Serialize>(
+    request: &HttpRequest,
+    shared: &Shared,
+    action: impl Future<Output = Result<T>>,
+) -> HttpResponse {
+    let result = match authorize(request, &shared.context) {
+        Ok(()) => action.await,
+        Err(error) => Err(error),
+    };
+    match result {
+        Ok(body) => HttpResponse::Ok().json(body),
+        Err(error) => error_response(&shared.context, "admin", &error),
+    }
+}
+
+async fn live() -> HttpResponse {
+    HttpResponse::Ok().body("live\n")
+}
+
+/// Ready while the instance has a table and is not stopping.
+async fn ready(shared: Shared) -> HttpResponse {
+    if shared.context.is_draining() {
+        return HttpResponse::ServiceUnavailable().body("stopping\n");
+    }
+    if shared.context.table.load().version == 0 {
+        return HttpResponse::ServiceUnavailable().body("no table\n");
+    }
+    HttpResponse::Ok().body("ready\n")
+}
+
+async fn metrics(shared: Shared) -> HttpResponse {
+    let text = shared.context.metrics.render();
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(text)
+}
+
+async fn status(request: HttpRequest, shared: Shared) -> HttpResponse {
+    let context = &shared.context;
+    let status = InstanceStatus {
+        data_centre: context.settings.data_centre.clone(),
+        draining: context.is_draining(),
+        instance: context.settings.instance.clone(),
+        table_version: context.table.load().version,
+    };
+    answer(&request, &shared, std::future::ready(Ok(status))).await
+}
+
+async fn servers(request: HttpRequest, shared: Shared) -> HttpResponse {
+    let list = async {
+        shared
+            .context
+            .router
+            .send(ListServers)
+            .await
+            .map_err(stopped)
+    };
+    answer(&request, &shared, list).await
+}
+
+async fn set_drain(request: HttpRequest, shared: Shared, leaving: bool) -> HttpResponse {
+    let server = request.match_info().query("server").into();
+    let source = LeavingSource::Operator;
+    let set = SetLeaving {
+        leaving,
+        server,
+        source,
+    };
+    let changed = async { shared.context.router.send(set).await.map_err(stopped) };
+    answer(&request, &shared, changed).await
+}
+
+async fn drain(request: HttpRequest, shared: Shared) -> HttpResponse {
+    set_drain(request, shared, true).await
+}
+
+async fn undrain(request: HttpRequest, shared: Shared) -> HttpResponse {
+    set_drain(request, shared, false).await
+}
+
+async fn table(request: HttpRequest, shared: Shared) -> HttpResponse {
+    let fetch = async {
+        let fetched = shared
+            .table
+            .send(FetchTable { have: 0 })
+            .await
+            .map_err(stopped)?;
+        let (version, rows) = fetched.unwrap_or_default();
+        Ok(serde_json::json!({ "version": version, "rows": rows }))
+    };
+    answer(&request, &shared, fetch).await
+}
+
+async fn history(request: HttpRequest, shared: Shared) -> HttpResponse {
+    let list = async { shared.table.send(ListEdits).await.map_err(stopped) };
+    answer(&request, &shared, list).await
+}
+
+async fn quarantine(request: HttpRequest, shared: Shared) -> HttpResponse {
+    let list = async {
+        shared
+            .context
+            .router
+            .send(ListQuarantine)
+            .await
+            .map_err(stopped)
+    };
+    answer(&request, &shared, list).await
+}
+
+async fn release(request: HttpRequest, shared: Shared) -> HttpResponse {
+    let text = request.match_info().query("content_hash").to_owned();
+    let released = async {
+        let parsed = u64::from_str_radix(&text, 16);
+        let content_hash = parsed.map_err(|_| Error::BadRequest {
+            reason: "write the hash as `ebonyspread quarantine list` shows it".to_owned(),
+        })?;
+        let release = ReleaseContent { content_hash };
+        shared.context.router.send(release).await.map_err(stopped)
+    };
+    answer(&request, &shared, released).await
+}
+
+fn stopped(_: MailboxError) -> Error {
+    Error::Invariant {
+        invariant: "actors run as long as the instance",
+    }
+}
--- /dev/null
+++ b/src/answer.rs
@@ -0,0 +1,257 @@
+//! Joins callers to model calls and turns the calls' events into HTTP answers.
+
+use super::*;
+
+use actix_web::HttpResponse;
+use futures_util::stream;
+
+/// A caller's request to start a model call or to come back to one.
+pub struct JoinCall {
+    /// Account.
+    pub account: AccountName,
+    /// Body as sent.
+    pub body: Bytes,
+    /// The checked request.
+    pub chat: ChatRequest,
+    /// What the caller has.
+    pub from: Position,
+    /// The caller's key.
+    pub key: Option<SmolStr>,
+    /// Id of the request.
+    pub request_id: RequestId,
+    /// True if the caller showed an event id.
+    pub returned: bool,
+    /// Where events go.
+    pub sink: mpsc::Sender<CallEvent>,
+}
+
+/// Attaches the caller to the running call of its session, or starts the call.
+pub async fn join_call(worker: &Worker, join: JoinCall) -> Result {
+    let context = &worker.context;
+    let session = join.key.clone().unwrap_or_else(|| join.request_id.clone());
+    let (control, control_receiver) = mpsc::channel(CONTROL_CAPACITY);
+    let open = OpenSession {
+        content_hash: join.chat.content_hash,
+        control,
+        key: (join.account.clone(), session.clone()),
+    };
+    if let Some(running) = context.open_session(open).await? {
+        let attach = CallControl::Attach {
+            from: join.from,
+            sink: join.sink.clone(),
+        };
+        if running.send(attach).await.is_ok() {
+            info!(
+                "join request={} account={} session=running",
+                join.request_id, join.account
+            );
+            return Ok(());
+        }
+    }
+    let ask = ask_for(&join.chat, join.account.clone(), join.request_id.clone());
+    let placement = context.admit(ask.clone(), false).await?;
+    let start = CallStart {
+        ask,
+        control: control_receiver,
+        dispatcher: worker.dispatcher.clone(),
+        keyed: join.key.is_some(),
+        request: join.chat,
+        sink: Some((join.from, join.sink)),
+        state: CallState {
+            account: join.account.clone(),
+            body: join.body,
+            ends: Vec::new(),
+            finish_reason: None,
+            request_id: join.request_id,
+            session: session.clone(),
+            text: String::new(),
+        },
+    };
+    spawn_call(context.clone(), start, placement);
+    Ok(())
+}
+
+/// Runs a call in a task of the current thread and takes it off the list at its end.
+pub fn spawn_call(context: Arc<Context>, start: CallStart, placement: Placement) {
+    let key = (start.state.account.clone(), start.state.session.clone());
+    let sessions = context.sessions.clone();
+    let call = ModelCall::new(context, start);
+    actix_rt::spawn(async move {
+        call.run(placement).await;
+        sessions.do_send(CloseSession(key));
+    });
+}
+
+/// What the router needs to place a chat request.
+pub fn ask_for(chat: &ChatRequest, account: AccountName, request_id: RequestId) -> Ask {
+    Ask {
+        account,
+        content_hash: chat.content_hash,
+        conversation: chat.conversation,
+        prefixes: chat.prefixes.clone(),
+        prompt_blocks: chat.prompt_bytes.div_ceil(BLOCK_BYTES),
+        request_id,
+        subject: chat.subject.clone(),
+    }
+}
+
+/// Gathers a whole answer.
+pub async fn whole_answer(
+    worker: &Worker,
+    request_id: &str,
+    chat: &ChatRequest,
+    mut events: mpsc::Receiver<CallEvent>,
+) -> Result<HttpResponse> {
+    while let Some(event) = events.recv().await {
+        match event {
+            CallEvent::Chunk { .. } => {}
+            CallEvent::Done {
+                finish_reason,
+                text,
+                usage,
+            } => {
+                log_whole(
+                    &worker.context,
+                    request_id,
+                    &format!("tokens={}", usage.completion_tokens),
+                );
+                let model = model_name(chat);
+                let answer = chat_json(request_id, &model, &text, &finish_reason, usage);
+                return Ok(response(200, request_id, Outcome::Whole).json(answer));
+            }
+            CallEvent::Failed(error) => return Err(error),
+            CallEvent::Refused { body, status } => {
+                return Ok(refused(worker, request_id, body, status));
+            }
+        }
+    }
+    Err(Error::CallMoved)
+}
+
+/// Starts a streamed answer once its first event is there, so that a call that fails before it
+/// still gets a status of its own.
+pub async fn stream_answer(
+    worker: &Worker,
+    request_id: &str,
+    chat: &ChatRequest,
+    mut events: mpsc::Receiver<CallEvent>,
+) -> Result<HttpResponse> {
+    let first = match events.recv().await {
+        Some(CallEvent::Failed(error)) => return Err(error),
+        Some(CallEvent::Refused { body, status }) => {
+            return Ok(refused(worker, request_id, body, status));
+        }
+        Some(first) => first,
+        None => return Err(Error::CallMoved),
+    };
+    let writer = EventWriter {
+        context: worker.context.clone(),
+        events,
+        first: Some(first),
+        has_ended: false,
+        include_usage: chat.stream_usage,
+        model: model_name(chat),
+        request_id: request_id.into(),
+    };
+    let body = stream::unfold(writer, |mut writer| async move {
+        let bytes = writer.next().await?;
+        Some((bytes, writer))
+    });
+    Ok(HttpResponse::Ok()
+        .insert_header((REQUEST_ID_HEADER, request_id))
+        .insert_header(("cache-control", "no-cache"))
+        .content_type("text/event-stream")
+        .streaming(body))
+}
+
+/// Passes on an engine's refusal of the request itself; it generated nothing.
+fn refused(worker: &Worker, request_id: &str, body: Bytes, status: u16) -> HttpResponse {
+    worker
+        .context
+        .metrics
+        .outcome(Outcome::NotRun, "refused_by_engine");
+    info!("finish request={request_id} outcome=not-run status={status} code=refused_by_engine");
+    response(status, request_id, Outcome::NotRun)
+        .content_type("application/json")
+        .body(body)
+}
+
+fn model_name(chat: &ChatRequest) -> Json {
+    chat.body.get("model").cloned().unwrap_or_default()
+}
+
+/// Writes a call's events as server-sent events.
+struct EventWriter {
+    context: Arc<Context>,
+    events: mpsc::Receiver<CallEvent>,
+    first: Option<CallEvent>,
+    has_ended: bool,
+    include_usage: bool,
+    model: Json,
+    request_id: RequestId,
+}
+
+impl EventWriter {
+    /// Bytes of the next event; `None` at the end. A call that moved to another instance ends
+    /// in an error, which cuts the connection, so that the caller comes back for the rest.
+    async fn next(&mut self) -> Option<Result<Bytes, Error>> {
+        if self.has_ended {
+            return None;
+        }
+        let event = match self.first.take() {
+            Some(first) => Some(first),
+            None => self.events.recv().await,
+        };
+        match event {
+            Some(CallEvent::Chunk { data, position }) => Some(Ok(write_event(
+                &event_id(&self.request_id, position),
+                &data,
+            ))),
+            Some(CallEvent::Done {
+                finish_reason,
+                usage,
+                ..
+            }) => {
+                self.has_ended = true;
+                Some(Ok(self.closing(&finish_reason, usage)))
+            }
+            Some(CallEvent::Failed(error)) => {
+                self.has_ended = true;
+                Some(Ok(self.failed(&error)))
+            }
+            Some(CallEvent::Refused { .. }) | None => {
+                self.has_ended = true;
+                Some(Err(Error::CallMoved))
+            }
+        }
+    }
+
+    fn closing(&self, finish_reason: &str, usage: Usage) -> Bytes {
+        let detail = format!("tokens={}", usage.completion_tokens);
+        log_whole(&self.context, &self.request_id, &detail);
+        let choices = serde_json::json!([{
+            "index": 0, "delta": {}, "finish_reason": finish_reason,
+        }]);
+        let last = closing_chunk(&self.request_id, &self.model, choices, Json::Null);
+        let mut text = format!("data: {last}\n\n");
+        if self.include_usage {
+            let empty = Json::Array(Vec::new());
+            let chunk = closing_chunk(&self.request_id, &self.model, empty, usage.to_json());
+            let _ = write!(text, "data: {chunk}\n\n");
+        }
+        let mut bytes = BytesMut::from(text.as_bytes());
+        bytes.extend_from_slice(DONE_EVENT);
+        bytes.freeze()
+    }
+
+    fn failed(&self, error: &Error) -> Bytes {
+        let (status, code) = error.status();
+        self.context.metrics.outcome(error.outcome(), code);
+        info!(
+            "finish request={} outcome={} status={status} code={code} reason=\"{error}\"",
+            self.request_id,
+            error.outcome().as_str()
+        );
+        format!("data: {}\n\n", error_json(error)).into()
+    }
+}
--- /dev/null
+++ b/src/apply.rs
@@ -0,0 +1,194 @@
+//! The actor that owns the table's log and puts accepted versions in force at this instance.
+
+use super::*;
+
+use arc_swap::ArcSwap;
+
+/// Pause after a failed read.
+const LOG_RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Part of the retention after which the table is written again.
+const SNAPSHOT_AGE_DIVISOR: u32 = 3;
+
+/// Snapshots are written by whoever draws this often first, so that not all instances write one.
+const SNAPSHOT_DRAW: f64 = 0.2;
+
+/// A read of the table's stream.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct TableRead(LogRead);
+
+/// A version from a peer.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct AdoptTable {
+    /// Rows.
+    pub rows: TableRows,
+    /// Version.
+    pub version: TableVersion,
+}
+
+/// Asks for the version in force if it is newer than `have`.
+#[derive(Message)]
+#[rtype(result = "Option<(TableVersion, TableRows)>")]
+pub struct FetchTable {
+    /// Version that the asker has.
+    pub have: TableVersion,
+}
+
+/// Asks for the accepted edits that this instance remembers.
+#[derive(Message)]
+#[rtype(result = "Vec<EditNote>")]
+pub struct ListEdits;
+
+/// Owner of the table's log.
+pub struct TableActor {
+    in_force: Arc<ArcSwap<TableInForce>>,
+    log: LogClient,
+    metrics: Metrics,
+    router: Addr<RouterActor>,
+    settings: Arc<Settings>,
+    shutdown: CancellationToken,
+    table_log: TableLog,
+}
+
+impl TableActor {
+    /// Creates the actor; it starts reading when it starts.
+    pub fn new(
+        settings: Arc<Settings>,
+        router: Addr<RouterActor>,
+        in_force: Arc<ArcSwap<TableInForce>>,
+        metrics: Metrics,
+        shutdown: CancellationToken,
+    ) -> Self {
+        Self {
+            in_force,
+            log: LogClient::new(&settings.platform_url),
+            metrics,
+            router,
+            settings,
+            shutdown,
+            table_log: TableLog::default(),
+        }
+    }
+
+    fn read_on(&self, context: &mut actix::Context<Self>) {
+        let from = self.table_log.next_offset();
+        let log = self.log.clone();
+        let shutdown = self.shutdown.clone();
+        let actor = context.address();
+        actix_rt::spawn(async move {
+            while !shutdown.is_cancelled() {
+                match log.read(TABLE_STREAM, from, READ_WAIT).await {
+                    Ok(read) => {
+                        actor.do_send(TableRead(read));
+                        return;
+                    }
+                    Err(error) => {
+                        warn!("table: {error}");
+                        tokio::time::sleep(LOG_RETRY_PAUSE).await;
+                    }
+                }
+            }
+        });
+    }
+
+    /// Puts the version in force if it is newer than what is in force.
+    fn put_in_force(&self, source: &str) {
+        let version = self.table_log.version();
+        let current = self.in_force.load().version;
+        if version == current {
+            return;
+        }
+        if version < current {
+            error!("invariant violated: table version never decreases");
+            self.metrics.invariant("table version never decreases");
+            return;
+        }
+        let table = match Table::try_from(self.table_log.rows()) {
+            Ok(table) => Arc::new(table),
+            Err(error) => {
+                error!("table version={version} is not usable and not in force: {error}");
+                return;
+            }
+        };
+        let apply = ApplyTable {
+            table: table.clone(),
+            version,
+        };
+        self.router.do_send(apply);
+        self.in_force
+            .store(Arc::new(TableInForce { table, version }));
+        info!("table version={version} before={current} source={source} in force");
+    }
+
+    fn write_snapshot_if_due(&self, log_now_ms: u64) {
+        let age = self.settings.log_retention / SNAPSHOT_AGE_DIVISOR;
+        let drawn = rand::random::<f64>() < SNAPSHOT_DRAW;
+        if !drawn || !self.table_log.needs_snapshot(log_now_ms, age) {
+            return;
+        }
+        let log = self.log.clone();
+        let table_log = self.table_log.clone();
+        actix_rt::spawn(async move {
+            if let Err(error) = write_snapshot(&log, &table_log).await {
+                warn!("table snapshot: {error}");
+            }
+        });
+    }
+}
+
+impl Actor for TableActor {
+    type Context = actix::Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        self.read_on(context);
+    }
+}
+
+impl Handler<TableRead> for TableActor {
+    type Result = ();
+
+    fn handle(&mut self, message: TableRead, context: &mut Self::Context) {
+        let read = message.0;
+        self.table_log.skip_to(read.start);
+        for entry in &read.entries {
+            if let TableEvent::Conflict { current } = self.table_log.apply(entry) {
+                info!(
+                    "table edit offset={} refused: version {current} is in force",
+                    entry.offset
+                );
+            }
+        }
+        self.put_in_force("log");
+        self.write_snapshot_if_due(read.time_ms);
+        self.read_on(context);
+    }
+}
+
+impl Handler<AdoptTable> for TableActor {
+    type Result = ();
+
+    fn handle(&mut self, message: AdoptTable, _: &mut Self::Context) {
+        if self.table_log.adopt(message.version, message.rows) {
+            self.put_in_force("peer");
+        }
+    }
+}
+
+impl Handler<FetchTable> for TableActor {
+    type Result = Option<(TableVersion, TableRows)>;
+
+    fn handle(&mut self, message: FetchTable, _: &mut Self::Context) -> Self::Result {
+        let version = self.table_log.version();
+        (version > message.have).then(|| (version, self.table_log.rows().clone()))
+    }
+}
+
+impl Handler<ListEdits> for TableActor {
+    type Result = Vec<EditNote>;
+
+    fn handle(&mut self, _: ListEdits, _: &mut Self::Context) -> Self::Result {
+        self.table_log.history().cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,302 @@
+//! Checks a table's rows before they are published and builds the [`Table`]; errors name row,
+//! column and remedy.
+
+use super::*;
+
+const NAME_MAX_BYTES: usize = 64;
+const ROWS_MAX: usize = 4_000;
+const SERVES_MAX: usize = 64;
+const WEIGHT_MAX: u32 = 1_000_000;
+const ROUTE_TIMEOUT_DEFAULT_MS: u32 = 30_000;
+const ROUTE_TIMEOUT_MAX_MS: u32 = 600_000;
+
+impl TryFrom<&wire::TableFile> for Table {
+    type Error = Error;
+
+    fn try_from(file: &wire::TableFile) -> Result<Self> {
+        let mut table = Self::default();
+        check_row_count(file)?;
+        for (index, row) in file.model_version.iter().enumerate() {
+            add_model_version(&mut table, index, row)?;
+        }
+        for (index, row) in file.route.iter().enumerate() {
+            add_route(&mut table, index, row)?;
+        }
+        for (index, row) in file.backend_server.iter().enumerate() {
+            add_server(&mut table, index, row)?;
+        }
+        for (index, row) in file.client_account.iter().enumerate() {
+            add_account(&mut table, index, row)?;
+        }
+        check_weights(&table)?;
+        Ok(table)
+    }
+}
+
+/// Parses and checks a table file's text.
+pub fn check_table_text(text: &str) -> Result<(wire::TableFile, Table)> {
+    let file: wire::TableFile = toml::from_str(text).map_err(|error| Error::Toml {
+        what: "table",
+        reason: error.to_string(),
+    })?;
+    let table = Table::try_from(&file)?;
+    Ok((file, table))
+}
+
+fn invalid(row: String, column: &'static str, remedy: impl Into<String>) -> Error {
+    Error::TableInvalid {
+        row,
+        column,
+        remedy: remedy.into(),
+    }
+}
+
+fn check_row_count(file: &wire::TableFile) -> Result {
+    let counts = [
+        ("backend_server", file.backend_server.len()),
+        ("model_version", file.model_version.len()),
+        ("route", file.route.len()),
+        ("client_account", file.client_account.len()),
+    ];
+    for (kind, count) in counts {
+        if count > ROWS_MAX {
+            let remedy = format!("{count} rows; write at most {ROWS_MAX}");
+            return Err(invalid(kind.to_owned(), "rows", remedy));
+        }
+    }
+    Ok(())
+}
+
+fn check_name(row: &str, column: &'static str, name: &str) -> Result {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_./@:".contains(c);
+    if name.is_empty() || name.len() > NAME_MAX_BYTES || !name.chars().all(allowed) {
+        let remedy = format!(
+            "write 1 to {NAME_MAX_BYTES} letters, digits or -_./@: in place of {:?}",
+            shorten(name)
+        );
+        return Err(invalid(row.to_owned(), column, remedy));
+    }
+    Ok(())
+}
+
+fn check_weight(row: &str, column: &'static str, weight: u32) -> Result {
+    if weight > WEIGHT_MAX {
+        let remedy = format!("write a weight of at most {WEIGHT_MAX}");
+        return Err(invalid(row.to_owned(), column, remedy));
+    }
+    Ok(())
+}
+
+fn add_variant(table: &mut Table, row: &str, subject: Subject, variant: Variant) -> Result {
+    check_name(row, "path", &variant.path)?;
+    check_weight(row, "weight", variant.weight)?;
+    let variants = table.variants.entry(subject).or_default();
+    for known in variants.iter() {
+        if known.path == variant.path && known.served_as == variant.served_as {
+            return Err(invalid(
+                row.to_owned(),
+                "path",
+                "another row has the same name and path; join the two rows",
+            ));
+        }
+    }
+    variants.push(variant);
+    Ok(())
+}
+
+fn add_model_version(table: &mut Table, index: usize, row: &wire::ModelVersionRow) -> Result {
+    let at = format!("model_version[{index}] {}", shorten(&row.model));
+    check_name(&at, "model", &row.model)?;
+    check_name(&at, "version", &row.version)?;
+    let variant = Variant {
+        path: row.path.as_str().into(),
+        served_as: format!("{}@{}", row.model, row.version).into(),
+        weight: row.weight,
+    };
+    add_variant(
+        table,
+        &at,
+        Subject::Model(row.model.as_str().into()),
+        variant,
+    )
+}
+
+fn add_route(table: &mut Table, index: usize, row: &wire::RouteRow) -> Result {
+    let at = format!("route[{index}] {}", shorten(&row.prefix));
+    check_name(&at, "prefix", &row.prefix)?;
+    if !row.prefix.starts_with('/') || row.prefix.ends_with('/') || row.prefix == "/v1" {
+        let remedy = "start with '/', end without it, and leave /v1 to the models";
+        return Err(invalid(at, "prefix", remedy));
+    }
+    let timeout_ms = match row.timeout_ms {
+        0 => ROUTE_TIMEOUT_DEFAULT_MS,
+        given => given,
+    };
+    if timeout_ms > ROUTE_TIMEOUT_MAX_MS {
+        let remedy = format!("write at most {ROUTE_TIMEOUT_MAX_MS}");
+        return Err(invalid(at, "timeout_ms", remedy));
+    }
+    let prefix = SmolStr::from(row.prefix.as_str());
+    let route = Route {
+        repeatable: row.repeatable,
+        timeout: Duration::from_millis(u64::from(timeout_ms)),
+    };
+    if let Some(known) = table.routes.get(&prefix)
+        && known.repeatable != route.repeatable
+    {
+        let remedy = "the prefix's other rows say otherwise; write the same in each";
+        return Err(invalid(at, "repeatable", remedy));
+    }
+    table.routes.insert(prefix.clone(), route);
+    let variant = Variant {
+        path: row.path.as_str().into(),
+        served_as: prefix.clone(),
+        weight: row.weight,
+    };
+    add_variant(table, &at, Subject::Route(prefix), variant)
+}
+
+fn add_server(table: &mut Table, index: usize, row: &wire::BackendServerRow) -> Result {
+    let at = format!("backend_server[{index}] {}", shorten(&row.name));
+    check_name(&at, "name", &row.name)?;
+    check_name(&at, "data_centre", &row.data_centre)?;
+    check_name(&at, "path", &row.path)?;
+    if table.servers.iter().any(|known| known.name == row.name) {
+        return Err(invalid(at, "name", "another row has this name; rename one"));
+    }
+    if row.address.parse::<std::net::SocketAddr>().is_err() {
+        let remedy = "write an IP number and port such as 10.0.0.7:8000";
+        return Err(invalid(at, "address", remedy));
+    }
+    if row.slots == 0 {
+        return Err(invalid(at, "slots", "write at least 1, or remove the row"));
+    }
+    if row.serves.is_empty() || row.serves.len() > SERVES_MAX {
+        let remedy = format!("list 1 to {SERVES_MAX} of model@version or a route's prefix");
+        return Err(invalid(at, "serves", remedy));
+    }
+    for served in &row.serves {
+        check_served(table, &at, &row.path, served)?;
+    }
+    table.servers.push(BackendServer {
+        address: row.address.as_str().into(),
+        checks_fencing: row.checks_fencing,
+        data_centre: row.data_centre.as_str().into(),
+        lookup_path: row.lookup_path.as_str().into(),
+        name: row.name.as_str().into(),
+        path: row.path.as_str().into(),
+        price_cents_per_hour: row.price_cents_per_hour,
+        reclaimable: row.reclaimable,
+        serves: row.serves.iter().map(SmolStr::from).collect(),
+        slots: row.slots,
+    });
+    Ok(())
+}
+
+/// Refuses a server that serves what no model version or route row on its path names.
+fn check_served(table: &Table, at: &str, path: &str, served: &str) -> Result {
+    for variants in table.variants.values() {
+        for variant in variants {
+            if variant.served_as == served && variant.path == path {
+                return Ok(());
+            }
+        }
+    }
+    let remedy = format!(
+        "no model_version or route row on path {} is {}; add the row or correct the name",
+        shorten(path),
+        shorten(served)
+    );
+    Err(invalid(at.to_owned(), "serves", remedy))
+}
+
+fn add_account(table: &mut Table, index: usize, row: &wire::ClientAccountRow) -> Result {
+    let at = format!("client_account[{index}] {}", shorten(&row.name));
+    check_name(&at, "name", &row.name)?;
+    let mut key_sha256 = [0; 32];
+    if hex::decode_to_slice(&row.key_sha256, &mut key_sha256).is_err() {
+        let remedy = "write the SHA-256 of the account's key as 64 hex digits";
+        return Err(invalid(at, "key_sha256", remedy));
+    }
+    for known in &table.client_accounts {
+        if known.name == row.name {
+            return Err(invalid(at, "name", "another row has this name; rename one"));
+        }
+        if known.key_sha256 == key_sha256 {
+            return Err(invalid(
+                at,
+                "key_sha256",
+                "another row has this key; make a new one",
+            ));
+        }
+    }
+    let limits = [
+        ("requests_per_s", row.requests_per_s),
+        ("streams_max", row.streams_max),
+        ("tokens_per_s", row.tokens_per_s),
+    ];
+    for (column, value) in limits {
+        if value == 0 {
+            return Err(invalid(at, column, "write at least 1, or remove the row"));
+        }
+    }
+    let priority = match row.priority.as_str() {
+        "background" => Priority::Background,
+        "" | "ordinary" => Priority::Ordinary,
+        "urgent" => Priority::Urgent,
+        _ => {
+            return Err(invalid(
+                at,
+                "priority",
+                "write urgent, ordinary or background",
+            ));
+        }
+    };
+    let mut path_weights = SmallVec::new();
+    for (path, weight) in &row.path_weights {
+        check_name(&at, "path_weights", path)?;
+        check_weight(&at, "path_weights", *weight)?;
+        path_weights.push((PathName::from(path.as_str()), *weight));
+    }
+    table.client_accounts.push(ClientAccount {
+        key_sha256,
+        name: row.name.as_str().into(),
+        path_weights,
+        priority,
+        requests_per_s: row.requests_per_s,
+        streams_max: row.streams_max,
+        tokens_per_s: row.tokens_per_s,
+    });
+    Ok(())
+}
+
+/// Refuses a subject whose weights are all zero, for the rows or for one account.
+fn check_weights(table: &Table) -> Result {
+    for (subject, variants) in &table.variants {
+        if variants.iter().all(|variant| variant.weight == 0) {
+            let remedy = "all weights are 0; write one above 0";
+            return Err(invalid(subject.to_string(), "weight", remedy));
+        }
+        for account in &table.client_accounts {
+            let sum: u64 = variants
+                .iter()
+                .map(|variant| u64::from(table.weight_for(account, variant)))
+                .sum();
+            if sum == 0 {
+                let row = format!("client_account {}", account.name);
+                let remedy = format!("all weights for {subject} are 0; write one above 0");
+                return Err(invalid(row, "path_weights", remedy));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Shortens operator or caller text for a message and escapes what is not printable.
+pub fn shorten(text: &str) -> String {
+    let mut short = String::new();
+    for c in text.chars().take(NAME_MAX_BYTES) {
+        short.extend(c.escape_default());
+    }
+    short
+}
--- /dev/null
+++ b/src/claim_actor.rs
@@ -0,0 +1,224 @@
+//! The actor that owns the gatherers of this instance and does their log I/O.
+
+use super::*;
+
+/// Pause after a failed read or append.
+const LOG_RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Interval at which batches and timeouts are looked at.
+const TICK: Duration = Duration::from_millis(2);
+
+/// Asks for a record to be ordered by the log of its partition.
+#[derive(Message)]
+#[rtype(result = "Verdict")]
+pub struct OrderRecord {
+    /// Partition of the record's key.
+    pub partition: u32,
+    /// The record.
+    pub record: ClaimRecord,
+}
+
+/// A read of a partition's stream.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct PartitionRead {
+    partition: u32,
+    read: LogRead,
+}
+
+/// End of an append to a partition's stream.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct PartitionAppended {
+    partition: u32,
+    succeeded: bool,
+}
+
+/// Owner of the gatherers.
+pub struct ClaimActor {
+    askers: HashMap<Ticket, oneshot::Sender<Verdict>>,
+    gatherers: BTreeMap<u32, Gatherer>,
+    log: LogClient,
+    metrics: Metrics,
+    next_ticket: Ticket,
+    settings: Arc<Settings>,
+    shutdown: CancellationToken,
+    started_at: Instant,
+}
+
+impl ClaimActor {
+    /// Creates the actor; gatherers start when their partition is first asked for.
+    pub fn new(settings: Arc<Settings>, metrics: Metrics, shutdown: CancellationToken) -> Self {
+        Self {
+            askers: HashMap::new(),
+            gatherers: BTreeMap::new(),
+            log: LogClient::new(&settings.platform_url),
+            metrics,
+            next_ticket: 0,
+            settings,
+            shutdown,
+            started_at: Instant::now(),
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    fn answer(&mut self, answers: impl IntoIterator<Item = TicketAnswer>) {
+        for answer in answers {
+            if let Some(asker) = self.askers.remove(&answer.ticket) {
+                // The asker may have given up; its record stays in the log all the same.
+                let _ = asker.send(answer.verdict);
+            }
+        }
+    }
+
+    fn start_partition(&mut self, partition: u32, context: &mut actix::Context<Self>) {
+        let settings = &self.settings;
+        let gatherer = Gatherer::new(settings.claim_window, settings.claim_batch);
+        self.gatherers.insert(partition, gatherer);
+        self.read_on(partition, context);
+    }
+
+    /// Reads the partition's stream from where the gatherer is, and again after each answer.
+    fn read_on(&self, partition: u32, context: &mut actix::Context<Self>) {
+        let Some(gatherer) = self.gatherers.get(&partition) else {
+            return;
+        };
+        let from = gatherer.next_offset();
+        let log = self.log.clone();
+        let shutdown = self.shutdown.clone();
+        let actor = context.address();
+        actix_rt::spawn(async move {
+            let stream = stream_name(partition);
+            while !shutdown.is_cancelled() {
+                match log.read(&stream, from, READ_WAIT).await {
+                    Ok(read) => {
+                        actor.do_send(PartitionRead { partition, read });
+                        return;
+                    }
+                    Err(error) => {
+                        warn!("claims partition={partition}: {error}");
+                        tokio::time::sleep(LOG_RETRY_PAUSE).await;
+                    }
+                }
+            }
+        });
+    }
+
+    fn append_due(&mut self, context: &mut actix::Context<Self>) {
+        let now = self.now();
+        for (partition, gatherer) in &mut self.gatherers {
+            let Some(batch) = gatherer.next_batch(now) else {
+                continue;
+            };
+            let partition = *partition;
+            let log = self.log.clone();
+            let actor = context.address();
+            actix_rt::spawn(async move {
+                let mut records = Vec::with_capacity(batch.len());
+                for record in &batch {
+                    records.push(wire::LogRecord::from(record));
+                }
+                let appended = log.append(&stream_name(partition), &records).await;
+                if let Err(error) = &appended {
+                    warn!("claims partition={partition}: {error}");
+                    tokio::time::sleep(LOG_RETRY_PAUSE).await;
+                }
+                actor.do_send(PartitionAppended {
+                    partition,
+                    succeeded: appended.is_ok(),
+                });
+            });
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = self.now();
+        let mut expired = Vec::new();
+        for gatherer in self.gatherers.values_mut() {
+            expired.extend(gatherer.expire(now));
+        }
+        self.answer(expired);
+    }
+}
+
+fn stream_name(partition: u32) -> String {
+    format!("claims-{partition}")
+}
+
+impl Actor for ClaimActor {
+    type Context = actix::Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        context.run_interval(TICK, |actor, context| {
+            actor.append_due(context);
+            actor.expire();
+        });
+    }
+}
+
+impl Handler<OrderRecord> for ClaimActor {
+    type Result = ResponseFuture<Verdict>;
+
+    fn handle(&mut self, message: OrderRecord, context: &mut Self::Context) -> Self::Result {
+        let OrderRecord { partition, record } = message;
+        if !self.gatherers.contains_key(&partition) {
+            self.start_partition(partition, context);
+        }
+        let now = self.now();
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let gatherer = self.gatherers.get_mut(&partition);
+        let settled = gatherer.and_then(|gatherer| gatherer.submit(now, ticket, record));
+        if let Some(verdict) = settled {
+            return Box::pin(std::future::ready(verdict));
+        }
+        let (asker, answer) = oneshot::channel();
+        self.askers.insert(ticket, asker);
+        Box::pin(async move { answer.await.unwrap_or(Verdict::Unavailable) })
+    }
+}
+
+impl Handler<PartitionRead> for ClaimActor {
+    type Result = ();
+
+    fn handle(&mut self, message: PartitionRead, context: &mut Self::Context) {
+        let PartitionRead { partition, read } = message;
+        let Some(gatherer) = self.gatherers.get_mut(&partition) else {
+            return;
+        };
+        gatherer.skip_to(read.start, read.first_time_ms());
+        let mut answers = Vec::new();
+        for entry in &read.entries {
+            let record = entry.record.clone();
+            let record = record.and_then(|record| ClaimRecord::try_from(record).ok());
+            match gatherer.read(entry.offset, entry.time_ms, record.as_ref()) {
+                Ok(settled) => answers.extend(settled),
+                Err(error) => {
+                    error!("claims partition={partition}: {error}");
+                    self.metrics
+                        .invariant("claim records are folded in order without gaps");
+                }
+            }
+        }
+        if gatherer.next_offset() >= read.tail {
+            gatherer.set_caught_up();
+        }
+        self.answer(answers);
+        self.read_on(partition, context);
+    }
+}
+
+impl Handler<PartitionAppended> for ClaimActor {
+    type Result = ();
+
+    fn handle(&mut self, message: PartitionAppended, context: &mut Self::Context) {
+        let now = self.now();
+        if let Some(gatherer) = self.gatherers.get_mut(&message.partition) {
+            gatherer.append_ended(now, message.succeeded);
+        }
+        self.append_due(context);
+    }
+}
--- /dev/null
+++ b/src/classify.rs
@@ -0,0 +1,169 @@
+//! Reads what a request asks for: account, subject, and for model calls the prompt's hashes.
+
+use super::*;
+
+/// Messages a chat request may hold.
+const MESSAGES_MAX: usize = 4_096;
+
+/// Tokens assumed for a request that names no bound.
+const OUTPUT_DEFAULT_TOKENS: u32 = 256;
+
+/// Messages that identify a conversation: they stay the same over its turns.
+const CONVERSATION_MESSAGES: usize = 2;
+
+/// Hashes the key of an `Authorization: Bearer` header.
+pub fn hash_account_key(key: &str) -> [u8; 32] {
+    Sha256::digest(key.as_bytes()).into()
+}
+
+/// Finds the account of an `Authorization` header's value.
+pub fn classify_account(table: &Table, authorization: Option<&str>) -> Result<ClientAccount> {
+    let Some(key) = authorization.and_then(|value| value.strip_prefix("Bearer ")) else {
+        return Err(Error::UnknownKey);
+    };
+    let account = table.account_by_key(&hash_account_key(key.trim()));
+    account.cloned().ok_or(Error::UnknownKey)
+}
+
+/// A chat completion request, checked.
+#[derive(Debug, Clone)]
+pub struct ChatRequest {
+    /// The body as the caller sent it, parsed.
+    pub body: JsonMap,
+    /// Hash of all messages, by which crashing content is recognised.
+    pub content_hash: u64,
+    /// Hash of the conversation's first messages.
+    pub conversation: u64,
+    /// Bound on the tokens to generate.
+    pub output_max_tokens: u32,
+    /// Hashes of the prompt's prefixes.
+    pub prefixes: PrefixHashes,
+    /// Length of the prompt.
+    pub prompt_bytes: usize,
+    /// True if the caller asked for server-sent events.
+    pub stream: bool,
+    /// True if the caller asked for usage in the stream.
+    pub stream_usage: bool,
+    /// Model asked for.
+    pub subject: Subject,
+}
+
+impl ChatRequest {
+    /// Parses and checks the body of `POST /v1/chat/completions`.
+    pub fn parse(table: &Table, bytes: &[u8]) -> Result<Self> {
+        let body: JsonMap = serde_json::from_slice(bytes)
+            .map_err(|error| bad_request(format!("body is not a JSON object: {error}")))?;
+        let model = match body.get("model") {
+            Some(Json::String(model)) => model.as_str(),
+            _ => return Err(bad_request("model is missing; send the name of a model")),
+        };
+        let subject = Subject::Model(model.into());
+        if !table.variants.contains_key(&subject) {
+            return Err(Error::UnknownModel {
+                model: shorten(model),
+            });
+        }
+        let prompt = Prompt::read(&body)?;
+        let stream = read_bool(&body, "stream")?;
+        let output_max_tokens = read_output_max(&body)?;
+        let stream_usage = match body.get("stream_options") {
+            Some(Json::Object(options)) => read_bool(options, "include_usage")?,
+            _ => false,
+        };
+        Ok(Self {
+            content_hash: xxh3_64(&prompt.text),
+            conversation: xxh3_64(&prompt.text[..prompt.conversation_bytes]),
+            output_max_tokens,
+            prefixes: prefix_hashes(&prompt.text),
+            prompt_bytes: prompt.text.len(),
+            stream,
+            stream_usage,
+            subject,
+            body,
+        })
+    }
+}
+
+/// Messages joined into one text, as far as hashing needs it.
+struct Prompt {
+    conversation_bytes: usize,
+    text: Vec<u8>,
+}
+
+impl Prompt {
+    fn read(body: &JsonMap) -> Result<Self> {
+        let messages = match body.get("messages") {
+            Some(Json::Array(messages)) if !messages.is_empty() => messages,
+            _ => {
+                return Err(bad_request(
+                    "messages is missing; send a list of at least one",
+                ));
+            }
+        };
+        if messages.len() > MESSAGES_MAX {
+            let reason = format!("more than {MESSAGES_MAX} messages; send fewer");
+            return Err(bad_request(reason));
+        }
+        let mut prompt = Self {
+            conversation_bytes: 0,
+            text: Vec::new(),
+        };
+        for (index, message) in messages.iter().enumerate() {
+            prompt.add(index, message)?;
+            if index < CONVERSATION_MESSAGES {
+                prompt.conversation_bytes = prompt.text.len();
+            }
+        }
+        Ok(prompt)
+    }
+
+    fn add(&mut self, index: usize, message: &Json) -> Result {
+        let Some(Json::String(role)) = message.get("role") else {
+            return Err(bad_request(format!(
+                "messages[{index}].role is missing; send one"
+            )));
+        };
+        self.text.extend_from_slice(role.as_bytes());
+        self.text.push(0);
+        match message.get("content") {
+            Some(Json::String(content)) => self.text.extend_from_slice(content.as_bytes()),
+            Some(other) => self.text.extend_from_slice(other.to_string().as_bytes()),
+            None => {}
+        }
+        self.text.push(0);
+        Ok(())
+    }
+}
+
+fn bad_request(reason: impl Into<String>) -> Error {
+    Error::BadRequest {
+        reason: reason.into(),
+    }
+}
+
+fn read_bool(body: &JsonMap, field: &str) -> Result<bool> {
+    match body.get(field) {
+        None | Some(Json::Null) => Ok(false),
+        Some(Json::Bool(value)) => Ok(*value),
+        Some(_) => Err(bad_request(format!("{field} must be true or false"))),
+    }
+}
+
+fn read_output_max(body: &JsonMap) -> Result<u32> {
+    for field in ["max_completion_tokens", "max_tokens"] {
+        let Some(value) = body.get(field) else {
+            continue;
+        };
+        if value.is_null() {
+            continue;
+        }
+        let tokens = value.as_u64().and_then(|tokens| u32::try_from(tokens).ok());
+        return match tokens {
+            Some(tokens) if tokens > 0 => Ok(tokens),
+            _ => Err(bad_request(format!(
+                "{field} must be a whole number above 0"
+            ))),
+        };
+    }
+    Ok(OUTPUT_DEFAULT_TOKENS)
+}
--- /dev/null
+++ b/src/finish.rs
@@ -0,0 +1,101 @@
+//! Ends requests: turns outcomes into HTTP responses.
+//!
+//! Every response carries `X-Request-Id` and `Ebonyspread-Outcome`; a stream's outcome is
+//! carried by its last event instead, because its head is sent before it.
+
+use super::*;
+
+use actix_web::HttpResponse;
+use actix_web::HttpResponseBuilder;
+use actix_web::http::StatusCode;
+
+/// Header with the outcome.
+pub const OUTCOME_HEADER: &str = "ebonyspread-outcome";
+
+/// Header with the request's id.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Error body in the shape that callers of model servers expect.
+pub fn error_json(error: &Error) -> Json {
+    let (status, code) = error.status();
+    let kind = match status {
+        400..=499 => "invalid_request_error",
+        _ => "server_error",
+    };
+    serde_json::json!({
+        "error": {
+            "message": error.to_string(),
+            "type": kind,
+            "param": null,
+            "code": code,
+            "outcome": error.outcome().as_str(),
+        }
+    })
+}
+
+/// Starts a response with the headers that all carry.
+pub fn response(status: u16, request_id: &str, outcome: Outcome) -> HttpResponseBuilder {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    builder.insert_header((REQUEST_ID_HEADER, request_id));
+    builder.insert_header((OUTCOME_HEADER, outcome.as_str()));
+    builder
+}
+
+/// Ends a request with an error.
+pub fn error_response(context: &Context, request_id: &str, error: &Error) -> HttpResponse {
+    let (status, code) = error.status();
+    let outcome = error.outcome();
+    context.metrics.outcome(outcome, code);
+    info!(
+        "finish request={request_id} outcome={} status={status} code={code} reason=\"{error}\"",
+        outcome.as_str()
+    );
+    let mut builder = response(status, request_id, outcome);
+    if let Some(retry_after) = error.retry_after() {
+        let seconds = retry_after.as_millis().div_ceil(1_000).max(1);
+        builder.insert_header(("retry-after", seconds.to_string()));
+        builder.insert_header(("retry-after-ms", retry_after.as_millis().to_string()));
+    }
+    builder.json(error_json(error))
+}
+
+/// Counts and logs a whole answer.
+pub fn log_whole(context: &Context, request_id: &str, detail: &str) {
+    context.metrics.outcome(Outcome::Whole, "ok");
+    info!("finish request={request_id} outcome=whole {detail}");
+}
+
+/// Whole answer of a model call that was not streamed.
+pub fn chat_json(request_id: &str, model: &Json, text: &str, reason: &str, usage: Usage) -> Json {
+    serde_json::json!({
+        "id": format!("chatcmpl-{request_id}"),
+        "object": "chat.completion",
+        "created": unix_seconds(),
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "logprobs": null,
+            "finish_reason": reason,
+        }],
+        "usage": usage.to_json(),
+    })
+}
+
+/// Last chunk of a stream, with the reason or with the usage.
+pub fn closing_chunk(request_id: &str, model: &Json, choices: Json, usage: Json) -> Json {
+    serde_json::json!({
+        "id": format!("chatcmpl-{request_id}"),
+        "object": "chat.completion.chunk",
+        "created": unix_seconds(),
+        "model": model,
+        "choices": choices,
+        "usage": usage,
+    })
+}
+
+fn unix_seconds() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs())
+}
--- /dev/null
+++ b/src/log_client.rs
@@ -0,0 +1,162 @@
+//! Client of the platform's log service.
+
+use super::*;
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use prost::Message as _;
+
+/// Time for an append; after it the append may still take effect.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time that a read waits at the service for new records.
+pub const READ_WAIT: Duration = Duration::from_secs(5);
+
+/// Margin over [`READ_WAIT`] for the answer itself.
+const READ_MARGIN: Duration = Duration::from_secs(3);
+
+/// Records of one read.
+const READ_MAX_RECORDS: u32 = 2_000;
+
+/// Longest answer to a read.
+const READ_MAX_BYTES: usize = 64 << 20;
+
+/// Stream that holds the table's edits and snapshots.
+pub const TABLE_STREAM: &str = "table";
+
+#[derive(Serialize)]
+struct AppendBody {
+    records: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct AppendAnswer {
+    first_offset: LogOffset,
+}
+
+#[derive(Deserialize)]
+struct ReadAnswer {
+    records: Vec<ReadRecord>,
+    start: LogOffset,
+    tail: LogOffset,
+    time_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct ReadRecord {
+    data: String,
+    offset: LogOffset,
+    time_ms: u64,
+}
+
+/// A record as read.
+#[derive(Debug, Clone)]
+pub struct LogEntry {
+    /// Place in the stream.
+    pub offset: LogOffset,
+    /// The record, or `None` if it cannot be decoded.
+    pub record: Option<wire::LogRecord>,
+    /// The log service's time of the append, in milliseconds since 1970.
+    pub time_ms: u64,
+}
+
+/// Answer to a read.
+#[derive(Debug, Clone)]
+pub struct LogRead {
+    /// Records from the offset asked for, or from `start`.
+    pub entries: Vec<LogEntry>,
+    /// First offset that the service still keeps.
+    pub start: LogOffset,
+    /// Offset after the last record.
+    pub tail: LogOffset,
+    /// The log service's time now, in milliseconds since 1970.
+    pub time_ms: u64,
+}
+
+impl LogRead {
+    /// Time of the first record kept, or now if none is: whatever is older may have been dropped.
+    pub fn first_time_ms(&self) -> u64 {
+        self.entries
+            .first()
+            .map_or(self.time_ms, |entry| entry.time_ms)
+    }
+}
+
+/// Client of one thread.
+#[derive(Clone)]
+pub struct LogClient {
+    client: awc::Client,
+    platform_url: SmolStr,
+}
+
+impl LogClient {
+    /// Creates a client for the platform at `platform_url`.
+    pub fn new(platform_url: &str) -> Self {
+        Self {
+            client: awc::Client::builder().no_default_headers().finish(),
+            platform_url: platform_url.trim_end_matches('/').into(),
+        }
+    }
+
+    /// Appends records in order and returns the offset of the first. After an error the records
+    /// may be in the log or not.
+    pub async fn append(&self, stream: &str, records: &[wire::LogRecord]) -> Result<LogOffset> {
+        let mut encoded = Vec::with_capacity(records.len());
+        for record in records {
+            encoded.push(BASE64_STANDARD.encode(record.encode_to_vec()));
+        }
+        let url = format!("{}/log/{stream}", self.platform_url);
+        let request = self.client.post(url).timeout(APPEND_TIMEOUT);
+        let body = AppendBody { records: encoded };
+        let mut response = request.send_json(&body).await.map_err(log_error)?;
+        if !response.status().is_success() {
+            return Err(log_error(format!("append: status {}", response.status())));
+        }
+        let answer: AppendAnswer = response.json().await.map_err(log_error)?;
+        Ok(answer.first_offset)
+    }
+
+    /// Reads records from an offset on; waits up to `wait` for the first.
+    pub async fn read(&self, stream: &str, from: LogOffset, wait: Duration) -> Result<LogRead> {
+        let url = format!(
+            "{}/log/{stream}?from={from}&max={READ_MAX_RECORDS}&wait_ms={}",
+            self.platform_url,
+            wait.as_millis()
+        );
+        let request = self.client.get(url).timeout(wait + READ_MARGIN);
+        let mut response = request.send().await.map_err(log_error)?;
+        if !response.status().is_success() {
+            return Err(log_error(format!("read: status {}", response.status())));
+        }
+        let answer: ReadAnswer = response
+            .json()
+            .limit(READ_MAX_BYTES)
+            .await
+            .map_err(log_error)?;
+        let mut entries = Vec::with_capacity(answer.records.len());
+        for record in answer.records {
+            entries.push(LogEntry {
+                offset: record.offset,
+                record: decode(&record.data),
+                time_ms: record.time_ms,
+            });
+        }
+        Ok(LogRead {
+            entries,
+            start: answer.start,
+            tail: answer.tail,
+            time_ms: answer.time_ms,
+        })
+    }
+}
+
+fn decode(data: &str) -> Option<wire::LogRecord> {
+    let bytes = BASE64_STANDARD.decode(data).ok()?;
+    wire::LogRecord::decode(bytes.as_slice()).ok()
+}
+
+fn log_error(error: impl std::fmt::Display) -> Error {
+    Error::LogService {
+        reason: error.to_string(),
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+//! The operators' command.
+
+fn main() -> std::process::ExitCode {
+    ebonyspread::command::run()
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,121 @@
+//! Metrics of an instance, in the Prometheus text format at the administration listener.
+
+use super::*;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+
+/// Instruments of one instance.
+#[derive(Clone)]
+pub struct Metrics {
+    control_bytes: Counter<u64>,
+    first_token_ms: Histogram<f64>,
+    invariant_violations: Counter<u64>,
+    outcomes: Counter<u64>,
+    provider: SdkMeterProvider,
+    registry: prometheus::Registry,
+    retries: Counter<u64>,
+    tokens: Counter<u64>,
+    tokens_recomputed: Counter<u64>,
+}
+
+impl Metrics {
+    /// Creates the instruments and the registry that is rendered.
+    pub fn new() -> Self {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone());
+        let builder = SdkMeterProvider::builder();
+        let provider = match exporter.build() {
+            Ok(reader) => builder.with_reader(reader).build(),
+            Err(error) => {
+                warn!("metrics are not exported: {error}; restart the instance");
+                builder.build()
+            }
+        };
+        let meter = provider.meter("ebonyspread");
+        Self {
+            control_bytes: meter.u64_counter("control_bytes").build(),
+            first_token_ms: meter
+                .f64_histogram("first_token_ms")
+                .with_boundaries(vec![
+                    50.0, 100.0, 200.0, 400.0, 800.0, 1_200.0, 2_400.0, 4_800.0,
+                ])
+                .build(),
+            invariant_violations: meter.u64_counter("invariant_violations").build(),
+            outcomes: meter.u64_counter("outcomes").build(),
+            retries: meter.u64_counter("retries").build(),
+            tokens: meter.u64_counter("tokens").build(),
+            tokens_recomputed: meter.u64_counter("tokens_recomputed").build(),
+            provider,
+            registry,
+        }
+    }
+
+    /// Counts bytes of control traffic by message kind and direction.
+    pub fn control(&self, kind: &'static str, direction: &'static str, bytes: usize) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("direction", direction),
+        ];
+        self.control_bytes.add(bytes as u64, &labels);
+    }
+
+    /// Records the time to a first token.
+    pub fn first_token(&self, elapsed: Duration) {
+        self.first_token_ms
+            .record(elapsed.as_secs_f64() * 1_000.0, &[]);
+    }
+
+    /// Counts a violated invariant.
+    pub fn invariant(&self, invariant: &'static str) {
+        self.invariant_violations
+            .add(1, &[KeyValue::new("invariant", invariant)]);
+    }
+
+    /// Counts a request's outcome.
+    pub fn outcome(&self, outcome: Outcome, code: &'static str) {
+        let labels = [
+            KeyValue::new("outcome", outcome.as_str()),
+            KeyValue::new("code", code),
+        ];
+        self.outcomes.add(1, &labels);
+    }
+
+    /// Counts a further attempt of a request.
+    pub fn retry(&self, failure: Failure) {
+        let cause = match failure {
+            Failure::Broken => "broken",
+            Failure::Connect => "connect",
+            Failure::Leaving => "leaving",
+            Failure::Status => "status",
+        };
+        self.retries.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts tokens sent to callers.
+    pub fn tokens(&self, count: u32) {
+        self.tokens.add(u64::from(count), &[]);
+    }
+
+    /// Counts tokens that an engine computed again because a request moved.
+    pub fn tokens_recomputed(&self, count: u32) {
+        self.tokens_recomputed.add(u64::from(count), &[]);
+    }
+
+    /// Renders all metrics.
+    pub fn render(&self) -> String {
+        let _ = self.provider.force_flush();
+        prometheus::TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_else(|error| format!("# {error}\n"))
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/plain.rs
@@ -0,0 +1,486 @@
+//! Carries plain calls: idempotent ones with retries, the others at most once under a claim.
+
+use super::*;
+
+use actix_web::HttpResponse;
+use actix_web::http::Method;
+use rand::Rng;
+
+/// Longest body that is recorded with an answer.
+const RECORDED_BODY_MAX_BYTES: usize = 4 << 10;
+
+/// Longest answer of a call that may not be repeated; it is read whole before it is passed on.
+const ONCE_ANSWER_MAX_BYTES: usize = 16 << 20;
+
+/// Time for asking a backend server about a key.
+const LOOKUP_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Servers that a call may try.
+const ATTEMPTS_MAX: usize = 4;
+
+/// A plain call as accepted.
+pub struct PlainRequest {
+    /// Account.
+    pub account: AccountName,
+    /// Body.
+    pub body: Bytes,
+    /// Headers to pass on.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The caller's key.
+    pub key: Option<SmolStr>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path_and_query: String,
+    /// Id of the request.
+    pub request_id: RequestId,
+    /// Columns of its route.
+    pub route: Route,
+    /// Its route.
+    pub subject: Subject,
+}
+
+impl PlainRequest {
+    fn ask(&self) -> Ask {
+        Ask {
+            account: self.account.clone(),
+            content_hash: 0,
+            conversation: 0,
+            prefixes: PrefixHashes::new(),
+            prompt_blocks: 0,
+            request_id: self.request_id.clone(),
+            subject: self.subject.clone(),
+        }
+    }
+
+    /// True if running the call twice does no harm.
+    fn is_idempotent(&self) -> bool {
+        self.route.repeatable || self.method == Method::GET || self.method == Method::HEAD
+    }
+
+    fn headers_to_send(&self, key: Option<&str>) -> Vec<(String, Vec<u8>)> {
+        let mut headers = self.headers.clone();
+        let mut add = |name: &str, value: &str| {
+            headers.push((name.to_owned(), value.as_bytes().to_vec()));
+        };
+        add("x-client-account", &self.account);
+        add(REQUEST_ID_HEADER, &self.request_id);
+        if let Some(key) = key {
+            add("idempotency-key", key);
+        }
+        headers
+    }
+
+    fn call<'a>(
+        &'a self,
+        headers: &'a [(String, Vec<u8>)],
+        fencing: Option<LogOffset>,
+    ) -> PlainCall<'a> {
+        PlainCall {
+            body: self.body.clone(),
+            fencing,
+            headers,
+            method: self.method.clone(),
+            path_and_query: &self.path_and_query,
+            timeout: self.route.timeout,
+        }
+    }
+
+    fn body_hash(&self) -> u64 {
+        let seed = xxh3_64(format!("{} {}", self.method, self.path_and_query).as_bytes());
+        xxh3_64_with_seed(&self.body, seed)
+    }
+}
+
+/// Serves a plain call.
+pub async fn serve_plain(worker: &Worker, request: PlainRequest) -> Result<HttpResponse> {
+    match request.is_idempotent() {
+        true => serve_idempotent(worker, &request).await,
+        false => serve_once(worker, &request).await,
+    }
+}
+
+async fn serve_idempotent(worker: &Worker, request: &PlainRequest) -> Result<HttpResponse> {
+    let context = &worker.context;
+    let ask = request.ask();
+    let headers = request.headers_to_send(request.key.as_deref());
+    let mut placement = context.admit(ask.clone(), false).await?;
+    let mut tried = Vec::new();
+    loop {
+        let call = request.call(&headers, None);
+        let sent = worker
+            .dispatcher
+            .send_plain(&placement.server, call, false)
+            .await;
+        let failed = match sent {
+            Ok(answer) => {
+                end_request(context, &ask, &placement);
+                log_whole(
+                    context,
+                    &request.request_id,
+                    &format!("status={}", answer.status),
+                );
+                return Ok(pass_on(&request.request_id, answer));
+            }
+            Err(failed) => failed,
+        };
+        log_failed(request, &placement, &failed);
+        tried.push(placement.server.name.clone());
+        context.metrics.retry(failed.failure);
+        let retry = RetryAsk {
+            ask: ask.clone(),
+            failed: placement.clone(),
+            failure: failed.failure,
+            tried: tried.clone(),
+        };
+        let next = match tried.len() < ATTEMPTS_MAX {
+            true => context.retry(retry).await,
+            false => {
+                context.router.do_send(EndAttempt {
+                    ask: ask.clone(),
+                    placement: placement.clone(),
+                });
+                Err(lost(&placement, failed))
+            }
+        };
+        match next {
+            Ok(next) => placement = next,
+            Err(error) => {
+                context.router.do_send(FinishRequest { ask, tokens: 0 });
+                return Err(error);
+            }
+        }
+    }
+}
+
+/// Serves a call that may not be repeated: claims its key, sends it once, records its answer.
+async fn serve_once(worker: &Worker, request: &PlainRequest) -> Result<HttpResponse> {
+    let context = &worker.context;
+    let key = match &request.key {
+        Some(key) => key.clone(),
+        None => SmolStr::from(uuid::Uuid::now_v7().to_string()),
+    };
+    let claim = Claim {
+        body_hash: request.body_hash(),
+        holder: context.settings.instance.clone(),
+        key: key_hash(&request.account, &key),
+        key_time_ms: key_time_ms(&key)?,
+        nonce: rand::rng().next_u64(),
+    };
+    let ask = request.ask();
+    let placement = context.admit(ask.clone(), false).await?;
+    let mut call = OnceCall::new(claim);
+    let verdict = context
+        .order(ClaimRecord::Claim(call.claim().clone()))
+        .await;
+    info!(
+        "claim request={} account={} key={key} verdict={}",
+        request.request_id,
+        request.account,
+        verdict_name(&verdict)
+    );
+    let served = match verdict {
+        Verdict::Granted { offset } => {
+            call.grant(offset);
+            send_once(worker, request, &key, call, placement).await
+        }
+        other => {
+            end_attempt(context, &ask, &placement);
+            answer_unclaimed(worker, request, &key, call, other).await
+        }
+    };
+    context.router.do_send(FinishRequest { ask, tokens: 0 });
+    let mut response = served?;
+    if let Ok(value) = actix_web::http::header::HeaderValue::from_str(&key) {
+        let name = actix_web::http::header::HeaderName::from_static("idempotency-key");
+        response.headers_mut().insert(name, value);
+    }
+    Ok(response)
+}
+
+/// Answers a call whose claim was not granted.
+async fn answer_unclaimed(
+    worker: &Worker,
+    request: &PlainRequest,
+    key: &str,
+    call: OnceCall,
+    verdict: Verdict,
+) -> Result<HttpResponse> {
+    let context = &worker.context;
+    match verdict {
+        Verdict::Finished(answer) => Ok(recorded(context, request, &answer)),
+        Verdict::KeyAge => Err(Error::KeyAge {
+            window_s: context.settings.claim_window.as_secs(),
+        }),
+        Verdict::OtherBody => Err(Error::KeyReused),
+        Verdict::Running { .. } => match look_up(worker, request, key).await {
+            Some(answer) => Ok(recorded(context, request, &answer)),
+            None => Err(Error::ClaimRunning),
+        },
+        Verdict::Granted { .. } | Verdict::Recorded | Verdict::Unavailable => {
+            release(context, call)?;
+            Err(Error::ClaimUnavailable {
+                reason: "the log service did not order the claim in time".to_owned(),
+            })
+        }
+    }
+}
+
+/// Sends a claimed call. A server that refuses the connection, or refuses the call because it is
+/// leaving, did not run it, and the same claim covers the next server.
+async fn send_once(
+    worker: &Worker,
+    request: &PlainRequest,
+    key: &str,
+    mut call: OnceCall,
+    placement: Placement,
+) -> Result<HttpResponse> {
+    let context = &worker.context;
+    let ask = request.ask();
+    let headers = request.headers_to_send(Some(key));
+    let mut placement = placement;
+    let mut tried = Vec::new();
+    loop {
+        let offset = call.send()?;
+        let to_send = request.call(&headers, Some(offset));
+        let sent = worker
+            .dispatcher
+            .send_plain(&placement.server, to_send, true)
+            .await;
+        let failed = match sent {
+            Ok(answer) => {
+                end_attempt(context, &ask, &placement);
+                return finish_once(worker, request, call, &placement, answer).await;
+            }
+            Err(failed) => failed,
+        };
+        log_failed(request, &placement, &failed);
+        tried.push(placement.server.name.clone());
+        match failed.failure {
+            Failure::Connect | Failure::Leaving => call.was_not_sent(),
+            Failure::Broken | Failure::Status => {
+                end_attempt(context, &ask, &placement);
+                return settle_by_lookup(worker, request, key, call, &placement, failed).await;
+            }
+        }
+        let retry = RetryAsk {
+            ask: ask.clone(),
+            failed: placement.clone(),
+            failure: failed.failure,
+            tried: tried.clone(),
+        };
+        match context.retry(retry).await {
+            Ok(next) => placement = next,
+            Err(error) => {
+                release(context, call)?;
+                return Err(error);
+            }
+        }
+    }
+}
+
+/// Reads the answer whole, records it and passes it on.
+async fn finish_once(
+    worker: &Worker,
+    request: &PlainRequest,
+    mut call: OnceCall,
+    placement: &Placement,
+    mut answer: Answer,
+) -> Result<HttpResponse> {
+    let context = &worker.context;
+    let mut body = BytesMut::new();
+    while let Some(chunk) = answer.body.next().await {
+        let too_long = body.len() > ONCE_ANSWER_MAX_BYTES;
+        let reason = match chunk {
+            Ok(chunk) if !too_long => {
+                body.extend_from_slice(&chunk);
+                continue;
+            }
+            Ok(_) => format!("answer is over {ONCE_ANSWER_MAX_BYTES} bytes"),
+            Err(error) => error.to_string(),
+        };
+        return Err(Error::DispatchLost {
+            server: placement.server.name.clone(),
+            reason,
+        });
+    }
+    let body = body.freeze();
+    let content_type = answer.headers.get("content-type");
+    let content_type = content_type
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let record = call.settle(recorded_answer(answer.status, content_type, &body))?;
+    record_later(context, record);
+    log_whole(
+        context,
+        &request.request_id,
+        &format!("status={}", answer.status),
+    );
+    let mut builder = response(answer.status, &request.request_id, Outcome::Whole);
+    pass_headers(&mut builder, &answer.headers);
+    Ok(builder.body(body))
+}
+
+/// Asks the server whether a call whose answer was lost ran. Its "no" proves nothing, as the call
+/// may still be on its way; its record of the run is the answer.
+async fn settle_by_lookup(
+    worker: &Worker,
+    request: &PlainRequest,
+    key: &str,
+    mut call: OnceCall,
+    placement: &Placement,
+    failed: AttemptError,
+) -> Result<HttpResponse> {
+    let context = &worker.context;
+    match look_up_at(worker, &placement.server, &request.account, key).await {
+        Some(answer) => {
+            record_later(context, call.settle(answer.clone())?);
+            Ok(recorded(context, request, &answer))
+        }
+        None => Err(lost(placement, failed)),
+    }
+}
+
+/// Asks every server of the route for its record of a key.
+async fn look_up(worker: &Worker, request: &PlainRequest, key: &str) -> Option<RecordedAnswer> {
+    let in_force = worker.context.table.load_full();
+    let Subject::Route(prefix) = &request.subject else {
+        return None;
+    };
+    for server in &in_force.table.servers {
+        if !server.serves.contains(prefix) {
+            continue;
+        }
+        let found = look_up_at(worker, server, &request.account, key).await;
+        if found.is_some() {
+            return found;
+        }
+    }
+    None
+}
+
+async fn look_up_at(
+    worker: &Worker,
+    server: &BackendServer,
+    account: &AccountName,
+    key: &str,
+) -> Option<RecordedAnswer> {
+    if server.lookup_path.is_empty() {
+        return None;
+    }
+    let path = server
+        .lookup_path
+        .replace("{key}", key)
+        .replace("{account}", account);
+    let url = format!("http://{}{path}", server.address);
+    let (status, body) = worker.dispatcher.fetch(&url, LOOKUP_TIMEOUT).await.ok()?;
+    (status == 200).then(|| recorded_answer(200, "application/json", &body))
+}
+
+fn recorded_answer(status: u16, content_type: &str, body: &Bytes) -> RecordedAnswer {
+    let body_dropped = body.len() > RECORDED_BODY_MAX_BYTES;
+    RecordedAnswer {
+        body: if body_dropped {
+            Bytes::new()
+        } else {
+            body.clone()
+        },
+        body_dropped,
+        content_type: content_type.into(),
+        status,
+    }
+}
+
+/// Answers with the record of an earlier run under the same key.
+fn recorded(context: &Context, request: &PlainRequest, answer: &RecordedAnswer) -> HttpResponse {
+    log_whole(
+        context,
+        &request.request_id,
+        &format!("status={} source=record", answer.status),
+    );
+    let mut builder = response(answer.status, &request.request_id, Outcome::Whole);
+    builder.insert_header(("idempotent-replayed", "true"));
+    if answer.body_dropped {
+        builder.insert_header(("ebonyspread-body", "too long to be recorded"));
+    }
+    if !answer.content_type.is_empty() {
+        builder.insert_header(("content-type", answer.content_type.as_str()));
+    }
+    builder.body(answer.body.clone())
+}
+
+fn release(context: &Arc<Context>, mut call: OnceCall) -> Result {
+    let record = call.release()?;
+    record_later(context, record);
+    Ok(())
+}
+
+/// Appends an answer or a release without holding up the caller.
+fn record_later(context: &Arc<Context>, record: ClaimRecord) {
+    let context = context.clone();
+    actix_rt::spawn(async move {
+        if context.order(record).await == Verdict::Unavailable {
+            warn!("claims: an outcome was not recorded; its key stays unknown until asked about");
+        }
+    });
+}
+
+fn end_attempt(context: &Context, ask: &Ask, placement: &Placement) {
+    context.router.do_send(EndAttempt {
+        ask: ask.clone(),
+        placement: placement.clone(),
+    });
+}
+
+fn end_request(context: &Context, ask: &Ask, placement: &Placement) {
+    end_attempt(context, ask, placement);
+    context.router.do_send(FinishRequest {
+        ask: ask.clone(),
+        tokens: 0,
+    });
+}
+
+fn log_failed(request: &PlainRequest, placement: &Placement, failed: &AttemptError) {
+    warn!(
+        "attempt request={} server={} failed reason=\"{}\"",
+        request.request_id,
+        placement.server.name,
+        shorten(&failed.reason)
+    );
+}
+
+fn lost(placement: &Placement, failed: AttemptError) -> Error {
+    Error::DispatchLost {
+        server: placement.server.name.clone(),
+        reason: failed.reason,
+    }
+}
+
+fn verdict_name(verdict: &Verdict) -> &'static str {
+    match verdict {
+        Verdict::Finished(_) => "finished",
+        Verdict::Granted { .. } => "granted",
+        Verdict::KeyAge => "key-age",
+        Verdict::OtherBody => "other-body",
+        Verdict::Recorded => "released",
+        Verdict::Running { .. } => "running",
+        Verdict::Unavailable => "unavailable",
+    }
+}
+
+fn pass_headers(
+    builder: &mut actix_web::HttpResponseBuilder,
+    headers: &actix_web::http::header::HeaderMap,
+) {
+    for (name, value) in headers {
+        if is_passed_header(name.as_str()) && name != REQUEST_ID_HEADER {
+            builder.append_header((name.clone(), value.clone()));
+        }
+    }
+}
+
+fn pass_on(request_id: &str, answer: Answer) -> HttpResponse {
+    let mut builder = response(answer.status, request_id, Outcome::Whole);
+    pass_headers(&mut builder, &answer.headers);
+    builder.streaming(answer.body)
+}
--- /dev/null
+++ b/src/poller.rs
@@ -0,0 +1,106 @@
+//! Polls what the platform and the backend servers publish: load, and who is leaving.
+
+use super::*;
+
+/// Interval between polls of one source.
+const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time for one poll.
+const POLL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Load report of a backend server.
+#[derive(Deserialize)]
+#[serde(default)]
+#[derive(Default)]
+struct LoadBody {
+    leaving: bool,
+    queued: u32,
+    running: u32,
+}
+
+/// One instance in the platform's list.
+#[derive(Deserialize)]
+struct ListedInstance {
+    name: ServerName,
+    state: SmolStr,
+}
+
+/// Starts polling on the current thread; it ends with the instance's shutdown token.
+pub fn start_polling(context: &Arc<Context>) {
+    let servers_context = context.clone();
+    actix_rt::spawn(async move { poll_servers(servers_context).await });
+    let list_context = context.clone();
+    actix_rt::spawn(async move { poll_instance_list(list_context).await });
+}
+
+/// Polls every backend server once an interval, each in a task of its own so that a slow one
+/// does not hold up the others.
+async fn poll_servers(context: Arc<Context>) {
+    let dispatcher = std::rc::Rc::new(Dispatcher::new());
+    let mut interval = tokio::time::interval(POLL_INTERVAL);
+    while !context.shutdown.is_cancelled() {
+        interval.tick().await;
+        let in_force = context.table.load_full();
+        for server in &in_force.table.servers {
+            let context = context.clone();
+            let dispatcher = dispatcher.clone();
+            let name = server.name.clone();
+            let url = format!("http://{}/load", server.address);
+            actix_rt::spawn(async move { poll_server(&context, &dispatcher, name, &url).await });
+        }
+    }
+}
+
+async fn poll_server(context: &Context, dispatcher: &Dispatcher, server: ServerName, url: &str) {
+    let Ok((200, body)) = dispatcher.fetch(url, POLL_TIMEOUT).await else {
+        return;
+    };
+    context
+        .metrics
+        .control("load_report", "received", body.len());
+    let Ok(load) = serde_json::from_slice::<LoadBody>(&body) else {
+        return;
+    };
+    let report = LoadReport {
+        queued: load.queued,
+        running: load.running,
+    };
+    context.router.do_send(ReportLoad {
+        report,
+        server: server.clone(),
+    });
+    let source = LeavingSource::Server;
+    context.router.do_send(SetLeaving {
+        leaving: load.leaving,
+        server,
+        source,
+    });
+}
+
+async fn poll_instance_list(context: Arc<Context>) {
+    let dispatcher = Dispatcher::new();
+    let url = format!(
+        "{}/instances",
+        context.settings.platform_url.trim_end_matches('/')
+    );
+    let mut interval = tokio::time::interval(POLL_INTERVAL);
+    while !context.shutdown.is_cancelled() {
+        interval.tick().await;
+        let Ok((200, body)) = dispatcher.fetch(&url, POLL_TIMEOUT).await else {
+            continue;
+        };
+        context
+            .metrics
+            .control("instance_list", "received", body.len());
+        let Ok(listed) = serde_json::from_slice::<Vec<ListedInstance>>(&body) else {
+            continue;
+        };
+        for instance in listed {
+            context.router.do_send(SetLeaving {
+                leaving: instance.state == "leaving",
+                server: instance.name,
+                source: LeavingSource::InstanceList,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/publish.rs
@@ -0,0 +1,139 @@
+//! Publishes table edits and keeps the table from falling out of the log.
+
+use super::*;
+
+/// Tries of one publication while the log service fails.
+const PUBLISH_TRIES: u32 = 5;
+
+/// Pause between tries.
+const PUBLISH_PAUSE: Duration = Duration::from_millis(300);
+
+/// Reads the whole table stream up to its tail.
+pub async fn read_table_log(log: &LogClient) -> Result<TableLog> {
+    let mut table_log = TableLog::default();
+    read_to_tail(log, &mut table_log).await?;
+    Ok(table_log)
+}
+
+async fn read_to_tail(log: &LogClient, table_log: &mut TableLog) -> Result<u64> {
+    loop {
+        let read = log
+            .read(TABLE_STREAM, table_log.next_offset(), Duration::ZERO)
+            .await?;
+        table_log.skip_to(read.start);
+        for entry in &read.entries {
+            table_log.apply(entry);
+        }
+        if table_log.next_offset() >= read.tail {
+            return Ok(read.time_ms);
+        }
+    }
+}
+
+/// Publishes an edit that turns the table of `base` into `new`, and waits until the log has
+/// accepted or refused it. Without `base` the edit is made against the version in force.
+pub async fn publish(
+    log: &LogClient,
+    operator: &str,
+    base: Option<TableVersion>,
+    new: &TableRows,
+) -> Result<TableVersion> {
+    Table::try_from(new)?;
+    let mut table_log = read_table_log(log).await?;
+    let base = base.unwrap_or(table_log.version());
+    if base != table_log.version() {
+        return Err(conflict(&table_log, base));
+    }
+    let (put, removed) = diff_rows(table_log.rows(), new);
+    if removed.is_empty() && row_ids(&put).next().is_none() {
+        return Ok(base);
+    }
+    let edit = wire::TableEdit {
+        base_version: base,
+        nonce: rand::random(),
+        operator: operator.to_owned(),
+        put: Some(put),
+        removed,
+    };
+    append_edit(log, &mut table_log, edit).await
+}
+
+/// Appends the edit until it is found in the log. Its append may take effect though its answer
+/// is lost; a second copy is harmless, because the first changes the version it was made against.
+async fn append_edit(
+    log: &LogClient,
+    table_log: &mut TableLog,
+    edit: wire::TableEdit,
+) -> Result<TableVersion> {
+    let base = edit.base_version;
+    let nonce = edit.nonce;
+    let record = wire::LogRecord {
+        body: Some(wire::log_record::Body::TableEdit(edit)),
+    };
+    let mut last_error = None;
+    for _ in 0..PUBLISH_TRIES {
+        let appended = log
+            .append(TABLE_STREAM, std::slice::from_ref(&record))
+            .await;
+        let read = read_to_tail(log, table_log).await;
+        if let Some(note) = table_log.find_edit(nonce) {
+            return Ok(note.version);
+        }
+        if table_log.version() != base {
+            return Err(conflict(table_log, base));
+        }
+        last_error = appended.err().or(read.err());
+        tokio::time::sleep(PUBLISH_PAUSE).await;
+    }
+    Err(last_error.unwrap_or(Error::LogService {
+        reason: "the edit is not in the log; publish it again".to_owned(),
+    }))
+}
+
+fn conflict(table_log: &TableLog, base: TableVersion) -> Error {
+    Error::TableConflict {
+        base,
+        current: table_log.version(),
+        rows: table_log.describe_since(base),
+    }
+}
+
+/// Writes the table in force again, so that retention cannot lose it. The copy counts only once
+/// it is confirmed, and it is confirmed only if no edit was accepted before it.
+pub async fn write_snapshot(log: &LogClient, table_log: &TableLog) -> Result {
+    use wire::log_record::Body;
+    let version = table_log.version();
+    let snapshot = wire::LogRecord {
+        body: Some(Body::TableSnapshot(wire::TableSnapshot {
+            version,
+            table: Some(table_log.rows().clone()),
+        })),
+    };
+    let offset = log.append(TABLE_STREAM, &[snapshot]).await?;
+    let mut checked = table_log.clone();
+    while checked.next_offset() <= offset {
+        let read = log
+            .read(TABLE_STREAM, checked.next_offset(), Duration::ZERO)
+            .await?;
+        if read.start > checked.next_offset() || read.entries.is_empty() {
+            return Ok(());
+        }
+        for entry in &read.entries {
+            if entry.offset <= offset {
+                checked.apply(entry);
+            }
+        }
+    }
+    if checked.version() != version {
+        debug!("snapshot of version {version} was overtaken and is not confirmed");
+        return Ok(());
+    }
+    let confirmed = wire::LogRecord {
+        body: Some(Body::SnapshotConfirmed(wire::SnapshotConfirmed {
+            snapshot_offset: offset,
+        })),
+    };
+    log.append(TABLE_STREAM, &[confirmed]).await?;
+    info!("snapshot version={version} offset={offset}");
+    Ok(())
+}
--- /dev/null
+++ b/src/quarantine.rs
@@ -0,0 +1,114 @@
+//! Finds requests whose content crashes the backend servers that run it, and refuses them.
+//!
+//! Every request that was running on a server when its connection broke is a suspect with that
+//! server as evidence. Content seen with two servers is quarantined. A suspect is placed apart
+//! from other suspects, so that the second crash tells them apart.
+
+use super::*;
+
+/// Distinct servers that content must have been running on when they broke.
+pub const SERVERS_TO_QUARANTINE: usize = 2;
+
+/// Suspects kept; the oldest are dropped first.
+const SUSPECTS_MAX: usize = 4_096;
+
+/// Suspicion without new evidence ends after this time.
+const SUSPICION_TTL: Duration = Duration::from_secs(3_600);
+
+#[derive(Debug, Clone)]
+struct Suspect {
+    account: AccountName,
+    seen_at: Duration,
+    servers: SmallVec<[ServerName; 2]>,
+}
+
+/// A quarantined content for the operators' list.
+#[derive(Debug, Clone, Serialize)]
+pub struct QuarantineEntry {
+    /// Account whose request it was.
+    pub account: AccountName,
+    /// Hash of the content.
+    pub content_hash: String,
+    /// Servers that broke while running it.
+    pub servers: Vec<ServerName>,
+}
+
+/// Suspects and quarantined contents of this instance, fed by all instances.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    suspects: HashMap<u64, Suspect>,
+}
+
+impl Quarantine {
+    /// Records that `server` broke while it ran the content. Returns true if the evidence is new.
+    pub fn suspect(
+        &mut self,
+        now: Duration,
+        content_hash: u64,
+        account: &AccountName,
+        server: &ServerName,
+    ) -> bool {
+        self.forget_old(now);
+        let suspect = self
+            .suspects
+            .entry(content_hash)
+            .or_insert_with(|| Suspect {
+                account: account.clone(),
+                seen_at: now,
+                servers: SmallVec::new(),
+            });
+        suspect.seen_at = now;
+        if suspect.servers.contains(server) {
+            return false;
+        }
+        suspect.servers.push(server.clone());
+        true
+    }
+
+    /// True if the content may not be placed.
+    pub fn holds(&self, content_hash: u64) -> bool {
+        match self.suspects.get(&content_hash) {
+            Some(suspect) => suspect.servers.len() >= SERVERS_TO_QUARANTINE,
+            None => false,
+        }
+    }
+
+    /// True if the content was running on a server that broke.
+    pub fn is_suspect(&self, content_hash: u64) -> bool {
+        self.suspects.contains_key(&content_hash)
+    }
+
+    /// Lists the quarantined contents.
+    pub fn list(&self) -> Vec<QuarantineEntry> {
+        let mut entries = Vec::new();
+        for (content_hash, suspect) in &self.suspects {
+            if suspect.servers.len() < SERVERS_TO_QUARANTINE {
+                continue;
+            }
+            entries.push(QuarantineEntry {
+                account: suspect.account.clone(),
+                content_hash: format!("{content_hash:016x}"),
+                servers: suspect.servers.to_vec(),
+            });
+        }
+        entries.sort_by(|a, b| a.content_hash.cmp(&b.content_hash));
+        entries
+    }
+
+    /// Releases a content on an operator's word. Returns false if it was not held.
+    pub fn release(&mut self, content_hash: u64) -> bool {
+        self.suspects.remove(&content_hash).is_some()
+    }
+
+    fn forget_old(&mut self, now: Duration) {
+        let fresh = |seen_at: Duration| now.saturating_sub(seen_at) < SUSPICION_TTL;
+        self.suspects.retain(|_, suspect| fresh(suspect.seen_at));
+        if self.suspects.len() < SUSPECTS_MAX {
+            return;
+        }
+        let mut times: Vec<Duration> = self.suspects.values().map(|s| s.seen_at).collect();
+        let (_, median, _) = times.select_nth_unstable(SUSPECTS_MAX / 2);
+        let median = *median;
+        self.suspects.retain(|_, suspect| suspect.seen_at > median);
+    }
+}
--- /dev/null
+++ b/src/sessions.rs
@@ -0,0 +1,100 @@
+//! The model calls that run at this instance, by account and session, so that their callers can
+//! come back to them and a stopping instance can hand them over.
+
+use super::*;
+
+/// Calls that are listed at once; beyond it a call runs but its caller cannot come back to it.
+const SESSIONS_MAX: usize = 20_000;
+
+/// Requests of other tasks that wait for a call.
+pub const CONTROL_CAPACITY: usize = 4;
+
+/// Account and session name of a call.
+pub type SessionKey = (AccountName, SmolStr);
+
+#[derive(Debug)]
+struct Session {
+    content_hash: u64,
+    control: mpsc::Sender<CallControl>,
+}
+
+/// Lists a call that is starting. The result is the running call under the same key, if any.
+#[derive(Message)]
+#[rtype(result = "Result<Option<mpsc::Sender<CallControl>>>")]
+pub struct OpenSession {
+    /// Hash of the content; a key belongs to one content.
+    pub content_hash: u64,
+    /// Channel to the call.
+    pub control: mpsc::Sender<CallControl>,
+    /// Account and session name.
+    pub key: SessionKey,
+}
+
+/// Removes a call that ended.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct CloseSession(
+    /// Account and session name.
+    pub SessionKey,
+);
+
+/// Removes and returns all calls, to be handed over.
+#[derive(Message)]
+#[rtype(result = "Vec<mpsc::Sender<CallControl>>")]
+pub struct TakeSessions;
+
+/// Owner of the list.
+#[derive(Debug, Default)]
+pub struct Sessions {
+    sessions: HashMap<SessionKey, Session>,
+}
+
+impl Actor for Sessions {
+    type Context = actix::Context<Self>;
+}
+
+impl Handler<OpenSession> for Sessions {
+    type Result = Result<Option<mpsc::Sender<CallControl>>>;
+
+    fn handle(&mut self, message: OpenSession, _: &mut Self::Context) -> Self::Result {
+        if let Some(session) = self.sessions.get(&message.key)
+            && !session.control.is_closed()
+        {
+            if session.content_hash != message.content_hash {
+                return Err(Error::KeyReused);
+            }
+            return Ok(Some(session.control.clone()));
+        }
+        if self.sessions.len() < SESSIONS_MAX {
+            let session = Session {
+                content_hash: message.content_hash,
+                control: message.control,
+            };
+            self.sessions.insert(message.key, session);
+        }
+        Ok(None)
+    }
+}
+
+impl Handler<CloseSession> for Sessions {
+    type Result = ();
+
+    fn handle(&mut self, message: CloseSession, _: &mut Self::Context) {
+        if let Some(session) = self.sessions.get(&message.0)
+            && session.control.is_closed()
+        {
+            self.sessions.remove(&message.0);
+        }
+    }
+}
+
+impl Handler<TakeSessions> for Sessions {
+    type Result = Vec<mpsc::Sender<CallControl>>;
+
+    fn handle(&mut self, _: TakeSessions, _: &mut Self::Context) -> Self::Result {
+        self.sessions
+            .drain()
+            .map(|(_, session)| session.control)
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/share.rs
@@ -0,0 +1,147 @@
+//! Divides a subject's requests between its variants in the proportion of the table's weights.
+//!
+//! Each (account, subject) pair is counted on its own. The next request goes to the variant that
+//! is furthest behind its share, so that over any run of requests between two edits a variant's
+//! count differs from its share by less than [`DEVIATION_MAX`] requests for one instance. A
+//! conversation keeps its variant while that variant is ahead by less than [`STICKY_MAX`].
+
+use super::*;
+
+/// Bound on the difference between a variant's count and its share, in requests, for one
+/// instance and without sticky conversations, for up to four variants.
+pub const DEVIATION_MAX: i64 = 3;
+
+/// A sticky conversation may take its variant ahead of its share by this many requests.
+pub const STICKY_MAX: i64 = 8;
+
+/// Variants that could not be served do not build up claims beyond this many requests, so that
+/// a path that comes back is not flooded.
+const DEBT_MAX: i64 = 16;
+
+#[derive(Debug, Clone, Default)]
+struct Ledger {
+    /// Per variant: share earned minus requests served, in units of 1 / sum of weights.
+    credits: SmallVec<[i64; 4]>,
+    weights: SmallVec<[i64; 4]>,
+}
+
+/// Counts of one instance for all accounts and subjects.
+#[derive(Debug, Default)]
+pub struct ShareBook {
+    ledgers: HashMap<(AccountName, Subject), Ledger>,
+    phase_seed: u64,
+}
+
+impl ShareBook {
+    /// Creates an empty book; instances with different seeds start at different places of the
+    /// cycle, so that a rare account's first requests do not all go to the heaviest variant.
+    pub fn new(phase_seed: u64) -> Self {
+        Self {
+            ledgers: HashMap::new(),
+            phase_seed,
+        }
+    }
+
+    /// Picks the variant for one request and counts it.
+    ///
+    /// `usable` tells for each variant whether it can be served now; `sticky` is the variant of
+    /// the conversation so far. Returns `None` if no variant of weight above 0 is usable.
+    pub fn pick(
+        &mut self,
+        account: &AccountName,
+        subject: &Subject,
+        weights: &[u32],
+        usable: &[bool],
+        sticky: Option<usize>,
+    ) -> Option<usize> {
+        let key = (account.clone(), subject.clone());
+        let phase_seed = self.phase_seed;
+        let ledger = self.ledgers.entry(key).or_default();
+        if !ledger.matches(weights) {
+            let phase = phase_hash(phase_seed, account, subject);
+            *ledger = Ledger::new(weights, phase);
+        }
+        let choice = ledger.choose(usable, sticky)?;
+        ledger.count(choice);
+        Some(choice)
+    }
+
+    /// Forgets the ledgers of accounts or subjects that left the table.
+    pub fn retain(&mut self, table: &Table) {
+        self.ledgers.retain(|(account, subject), _| {
+            let known = |row: &ClientAccount| row.name == *account;
+            table.variants.contains_key(subject) && table.client_accounts.iter().any(known)
+        });
+    }
+}
+
+impl Ledger {
+    fn new(weights: &[u32], phase: u64) -> Self {
+        let mut ledger = Self {
+            credits: SmallVec::from_elem(0, weights.len()),
+            weights: weights.iter().map(|weight| i64::from(*weight)).collect(),
+        };
+        let sum = ledger.sum();
+        if sum == 0 {
+            return ledger;
+        }
+        let all = SmallVec::<[bool; 4]>::from_elem(true, weights.len());
+        for _ in 0..phase % PHASE_STEPS {
+            let Some(choice) = ledger.choose(&all, None) else {
+                break;
+            };
+            ledger.count(choice);
+        }
+        ledger
+    }
+
+    fn matches(&self, weights: &[u32]) -> bool {
+        let given = weights.iter().map(|weight| i64::from(*weight));
+        self.weights.iter().copied().eq(given)
+    }
+
+    fn sum(&self) -> i64 {
+        self.weights.iter().sum()
+    }
+
+    fn choose(&self, usable: &[bool], sticky: Option<usize>) -> Option<usize> {
+        let sum = self.sum();
+        if let Some(index) = sticky
+            && usable.get(index) == Some(&true)
+            && self.weights.get(index).is_some_and(|weight| *weight > 0)
+            && self.credits[index] + self.weights[index] > -STICKY_MAX * sum
+        {
+            return Some(index);
+        }
+        let mut best: Option<(i64, usize)> = None;
+        for (index, weight) in self.weights.iter().enumerate() {
+            if *weight == 0 || usable.get(index) != Some(&true) {
+                continue;
+            }
+            let due = self.credits[index] + weight;
+            if best.is_none_or(|(most, _)| due > most) {
+                best = Some((due, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    fn count(&mut self, choice: usize) {
+        let sum = self.sum();
+        for (credit, weight) in self.credits.iter_mut().zip(&self.weights) {
+            *credit += weight;
+        }
+        self.credits[choice] -= sum;
+        let limit = DEBT_MAX * sum;
+        for credit in &mut self.credits {
+            *credit = (*credit).clamp(-limit, limit);
+        }
+    }
+}
+
+const PHASE_STEPS: u64 = 97;
+
+fn phase_hash(seed: u64, account: &str, subject: &Subject) -> u64 {
+    let text = format!("{account}\0{subject}");
+    xxh3_64_with_seed(text.as_bytes(), seed)
+}
--- /dev/null
+++ b/src/sse.rs
@@ -0,0 +1,99 @@
+//! Reads and writes server-sent events.
+
+use super::*;
+
+/// Longest event that is read.
+pub const EVENT_MAX_BYTES: usize = 1 << 20;
+
+/// Cuts a byte stream into the data of its events.
+#[derive(Debug, Default)]
+pub struct SseParser {
+    buffer: BytesMut,
+    scanned: usize,
+}
+
+impl SseParser {
+    /// Adds bytes as they arrive. Fails if an event is over [`EVENT_MAX_BYTES`].
+    pub fn push(&mut self, bytes: &[u8]) -> Result {
+        if self.buffer.len() + bytes.len() > EVENT_MAX_BYTES {
+            return Err(Error::BodyTooLarge {
+                limit_bytes: EVENT_MAX_BYTES,
+            });
+        }
+        self.buffer.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// Takes the data of the next whole event; events without data are passed over.
+    pub fn next_data(&mut self) -> Option<Bytes> {
+        while let Some(event) = self.next_event() {
+            let data = event_data(&event);
+            if data.is_some() {
+                return data;
+            }
+        }
+        None
+    }
+
+    fn next_event(&mut self) -> Option<Bytes> {
+        let mut at = self.scanned;
+        while at < self.buffer.len() {
+            let rest = &self.buffer[at..];
+            for end in ["\n\n", "\r\n\r\n"] {
+                if rest.starts_with(end.as_bytes()) {
+                    let event = self.buffer.split_to(at + end.len()).freeze();
+                    self.scanned = 0;
+                    return Some(event);
+                }
+            }
+            at += 1;
+        }
+        // An end mark may be cut by the end of the buffer.
+        self.scanned = self.buffer.len().saturating_sub(3);
+        None
+    }
+}
+
+/// Joins the data lines of an event; the common event of one line is not copied.
+fn event_data(event: &Bytes) -> Option<Bytes> {
+    let mut joined: Option<BytesMut> = None;
+    let mut single: Option<Bytes> = None;
+    for line in event.split(|byte| *byte == b'\n') {
+        let Some(data) = line.strip_prefix(b"data:") else {
+            continue;
+        };
+        let data = data.strip_prefix(b" ").unwrap_or(data);
+        let data = data.strip_suffix(b"\r").unwrap_or(data);
+        match (&mut joined, &single) {
+            (None, None) => single = Some(event.slice_ref(data)),
+            (None, Some(first)) => {
+                let mut both = BytesMut::from(first.as_ref());
+                both.extend_from_slice(b"\n");
+                both.extend_from_slice(data);
+                joined = Some(both);
+            }
+            (Some(joined), _) => {
+                joined.extend_from_slice(b"\n");
+                joined.extend_from_slice(data);
+            }
+        }
+    }
+    match joined {
+        Some(joined) => Some(joined.freeze()),
+        None => single,
+    }
+}
+
+/// Writes one event with an id.
+pub fn write_event(id: &str, data: &[u8]) -> Bytes {
+    let mut event = BytesMut::with_capacity(id.len() + data.len() + 16);
+    event.extend_from_slice(b"id: ");
+    event.extend_from_slice(id.as_bytes());
+    event.extend_from_slice(b"\ndata: ");
+    event.extend_from_slice(data);
+    event.extend_from_slice(b"\n\n");
+    event.freeze()
+}
+
+/// The event that ends a whole answer.
+pub const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,427 @@
+//! Builds what a test needs: stand-ins and entry instances as threads of the test's process, on
+//! ports that the system chooses.
+#![allow(clippy::unwrap_used, dead_code, missing_docs)]
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::App;
+use actix_web::HttpServer;
+use actix_web::dev::ServerHandle;
+use actix_web::web::ServiceConfig;
+use ebonyspread::classify::hash_account_key;
+use ebonyspread::entry::Entry;
+use ebonyspread::log_client::LogClient;
+use ebonyspread::publish::publish;
+use ebonyspread::settings::Settings;
+use ebonyspread::wire;
+use ebonyspread_standins::engine::Engine;
+use ebonyspread_standins::engine::EngineSettings;
+use ebonyspread_standins::platform::Platform;
+use ebonyspread_standins::service::Service;
+use serde_json::Value;
+
+pub const ADMIN_KEY: &str = "test-admin-key-0123456789";
+pub const MODEL: &str = "restock-8b";
+pub const PEER_KEY: &str = "test-peer-key-0123456789";
+
+/// A server in a thread; stopped when dropped.
+pub struct Running {
+    pub address: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Running {
+    pub fn start(configure: impl Fn(&mut ServiceConfig) + Clone + Send + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, receiver) = mpsc::channel();
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let server = HttpServer::new(move || App::new().configure(configure.clone()))
+                    .workers(1)
+                    .disable_signals()
+                    .listen(listener)
+                    .unwrap()
+                    .run();
+                sender.send(server.handle()).unwrap();
+                server.await
+            })
+        });
+        Self {
+            address,
+            handle: receiver.recv().unwrap(),
+        }
+    }
+
+    /// Stops at once, cutting connections.
+    pub fn kill(&self) {
+        // The stop is sent when called; its future only waits for the end.
+        drop(self.handle.stop(false));
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+pub struct TestEngine {
+    pub engine: Engine,
+    pub running: Arc<Running>,
+}
+
+/// Stand-ins and entries of one test.
+pub struct Bench {
+    pub engines: Vec<TestEngine>,
+    pub entries: Vec<Entry>,
+    pub platform: Platform,
+    pub platform_url: String,
+    pub service: Service,
+    pub table: wire::TableFile,
+    _servers: Vec<Running>,
+}
+
+/// Builder of a [`Bench`].
+pub struct BenchBuilder {
+    data_centres: usize,
+    engine: EngineSettings,
+    engines: usize,
+    entries: usize,
+    requests_per_s: u32,
+    service_checks_fencing: bool,
+}
+
+impl Default for BenchBuilder {
+    fn default() -> Self {
+        Self {
+            data_centres: 1,
+            engine: EngineSettings {
+                prefill_per_token: Duration::from_micros(10),
+                token_interval: Duration::from_millis(2),
+                ..EngineSettings::default()
+            },
+            engines: 2,
+            entries: 1,
+            requests_per_s: 10_000,
+            service_checks_fencing: false,
+        }
+    }
+}
+
+impl BenchBuilder {
+    pub fn data_centres(mut self, count: usize) -> Self {
+        self.data_centres = count;
+        self
+    }
+
+    pub fn engines(mut self, count: usize) -> Self {
+        self.engines = count;
+        self
+    }
+
+    pub fn entries(mut self, count: usize) -> Self {
+        self.entries = count;
+        self
+    }
+
+    pub fn requests_per_s(mut self, limit: u32) -> Self {
+        self.requests_per_s = limit;
+        self
+    }
+
+    pub fn service_checks_fencing(mut self) -> Self {
+        self.service_checks_fencing = true;
+        self
+    }
+
+    pub fn token_interval(mut self, interval: Duration) -> Self {
+        self.engine.token_interval = interval;
+        self
+    }
+
+    pub fn start(self) -> Bench {
+        let platform = Platform::default();
+        let service = Service::new("orders", self.service_checks_fencing);
+        let (served_platform, served_service) = (platform.clone(), service.clone());
+        let platform_server = Running::start(move |config| served_platform.configure(config));
+        let service_server = Running::start(move |config| served_service.configure(config));
+        let mut engines = Vec::new();
+        for _ in 0..self.engines {
+            engines.push(start_engine(self.engine.clone()));
+        }
+        let table = self.table(&engines, service_server.address);
+        let platform_url = format!("http://{}", platform_server.address);
+        publish_table(&platform_url, &table);
+        let mut bench = Bench {
+            engines,
+            entries: Vec::new(),
+            platform,
+            platform_url,
+            service,
+            table,
+            _servers: vec![platform_server, service_server],
+        };
+        for index in 0..self.entries {
+            bench.add_entry(index, index % self.data_centres);
+        }
+        bench.wait_for_version(1);
+        bench
+    }
+
+    fn table(&self, engines: &[TestEngine], service: SocketAddr) -> wire::TableFile {
+        let mut table = wire::TableFile::default();
+        for account in ["quayside", "harbour"] {
+            table.client_account.push(wire::ClientAccountRow {
+                name: account.to_owned(),
+                key_sha256: hex::encode(hash_account_key(&account_key(account))),
+                requests_per_s: self.requests_per_s,
+                tokens_per_s: 1_000_000,
+                streams_max: 1_000,
+                ..Default::default()
+            });
+        }
+        table.model_version.push(wire::ModelVersionRow {
+            model: MODEL.to_owned(),
+            version: "v1".to_owned(),
+            path: "new".to_owned(),
+            weight: 1,
+            ..Default::default()
+        });
+        for (prefix, repeatable) in [("/orders", false), ("/lookups", true)] {
+            table.route.push(wire::RouteRow {
+                prefix: prefix.to_owned(),
+                path: "new".to_owned(),
+                weight: 1,
+                repeatable,
+                timeout_ms: 2_000,
+            });
+        }
+        for (index, engine) in engines.iter().enumerate() {
+            table.backend_server.push(wire::BackendServerRow {
+                name: format!("engine-{index}"),
+                data_centre: data_centre(index % self.data_centres),
+                address: engine.running.address.to_string(),
+                path: "new".to_owned(),
+                serves: vec![format!("{MODEL}@v1")],
+                slots: 16,
+                ..Default::default()
+            });
+        }
+        table.backend_server.push(wire::BackendServerRow {
+            name: "service".to_owned(),
+            data_centre: data_centre(0),
+            address: service.to_string(),
+            path: "new".to_owned(),
+            serves: vec!["/orders".to_owned(), "/lookups".to_owned()],
+            slots: 64,
+            lookup_path: "/runs/{account}/{key}".to_owned(),
+            ..Default::default()
+        });
+        table
+    }
+}
+
+impl Bench {
+    /// Starts one more entry instance.
+    pub fn add_entry(&mut self, index: usize, centre: usize) {
+        let mut peers = Vec::new();
+        for entry in &self.entries {
+            peers.push(entry.peer_address().to_string());
+        }
+        let any = "127.0.0.1:0".to_owned();
+        let file = wire::Settings {
+            instance: format!("entry-{index}"),
+            data_centre: data_centre(centre),
+            region: "test".to_owned(),
+            caller_address: any.clone(),
+            peer_address: any.clone(),
+            admin_address: any,
+            platform_url: self.platform_url.clone(),
+            peer_key: PEER_KEY.to_owned(),
+            admin_key: ADMIN_KEY.to_owned(),
+            peers,
+            workers: 1,
+            drain_ms: 100,
+            ..Default::default()
+        };
+        let settings = Settings::try_from(file).unwrap();
+        self.entries.push(Entry::start(settings).unwrap());
+    }
+
+    /// URL of an entry's callers' listener.
+    pub fn url(&self, entry: usize, path: &str) -> String {
+        format!("http://{}{path}", self.entries[entry].caller_address())
+    }
+
+    /// Waits until all entries have a version of the table.
+    pub fn wait_for_version(&self, version: u64) {
+        for entry in &self.entries {
+            wait_until("table version", || entry.table_version() >= version);
+        }
+    }
+}
+
+pub fn start_engine(settings: EngineSettings) -> TestEngine {
+    let server: Arc<std::sync::OnceLock<Arc<Running>>> = Arc::default();
+    let to_stop = server.clone();
+    let stop = Arc::new(move || {
+        if let Some(server) = to_stop.get() {
+            server.kill();
+        }
+    });
+    let engine = Engine::new(settings, stop);
+    let served = engine.clone();
+    let running = Arc::new(Running::start(move |config| served.configure(config)));
+    let _ = server.set(running.clone());
+    TestEngine { engine, running }
+}
+
+pub fn data_centre(index: usize) -> String {
+    format!("centre-{index}")
+}
+
+pub fn account_key(account: &str) -> String {
+    format!("key-of-{account}")
+}
+
+pub fn bearer(account: &str) -> (&'static str, String) {
+    ("authorization", format!("Bearer {}", account_key(account)))
+}
+
+pub fn publish_table(platform_url: &str, table: &wire::TableFile) -> u64 {
+    let platform_url = platform_url.to_owned();
+    let table = table.clone();
+    block_on(async move {
+        publish(&LogClient::new(&platform_url), "test", None, &table)
+            .await
+            .unwrap()
+    })
+}
+
+/// Runs a future on a runtime of its own.
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
+    actix_rt::System::new().block_on(future)
+}
+
+/// Waits for a state that has to come about; fails after a time that no healthy machine needs.
+pub fn wait_until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !is_so() {
+        assert!(
+            started.elapsed() < Duration::from_secs(30),
+            "{what} did not come about"
+        );
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A parsed answer.
+pub struct Reply {
+    pub body: bytes::Bytes,
+    pub headers: awc::http::header::HeaderMap,
+    pub status: u16,
+}
+
+impl Reply {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map_or("", |value| value.to_str().unwrap())
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+
+    pub fn outcome(&self) -> &str {
+        self.header("ebonyspread-outcome")
+    }
+}
+
+/// Sends a request and reads its answer whole.
+pub async fn send(
+    method: &str,
+    url: &str,
+    headers: &[(&str, String)],
+    body: impl Into<bytes::Bytes>,
+) -> Reply {
+    try_send(method, url, headers, body).await.unwrap()
+}
+
+pub async fn try_send(
+    method: &str,
+    url: &str,
+    headers: &[(&str, String)],
+    body: impl Into<bytes::Bytes>,
+) -> Result<Reply, String> {
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(20))
+        .finish();
+    let mut request = client.request(method.parse().unwrap(), url);
+    for (name, value) in headers {
+        request = request.insert_header((*name, value.as_str()));
+    }
+    let mut response = request
+        .send_body(body.into())
+        .await
+        .map_err(|error| error.to_string())?;
+    let body = response
+        .body()
+        .limit(16 << 20)
+        .await
+        .map_err(|error| error.to_string())?;
+    Ok(Reply {
+        body,
+        headers: response.headers().clone(),
+        status: response.status().as_u16(),
+    })
+}
+
+/// Body of a chat request.
+pub fn chat_body(prompt: &str, stream: bool, max_tokens: u32) -> String {
+    serde_json::json!({
+        "model": MODEL,
+        "messages": [{ "role": "user", "content": prompt }],
+        "stream": stream,
+        "max_tokens": max_tokens,
+    })
+    .to_string()
+}
+
+/// Text that the engines answer to [`chat_body`].
+pub fn expected_text(prompt: &str, max_tokens: u32) -> String {
+    let messages = serde_json::json!([{ "role": "user", "content": prompt }]);
+    let prompt = ebonyspread_standins::text::prompt_text(&messages);
+    ebonyspread_standins::text::answer_text(&prompt, max_tokens)
+}
+
+/// Text and last event id of a stream's body.
+pub fn read_stream(body: &[u8]) -> (String, String, bool) {
+    let (mut text, mut last_id, mut is_done) = (String::new(), String::new(), false);
+    for line in String::from_utf8_lossy(body).lines() {
+        if let Some(id) = line.strip_prefix("id: ") {
+            last_id = id.to_owned();
+        }
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        if data == "[DONE]" {
+            is_done = true;
+            continue;
+        }
+        let chunk: Value = serde_json::from_str(data).unwrap();
+        text.push_str(
+            chunk["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or_default(),
+        );
+    }
+    (text, last_id, is_done)
+}
