--- a/src/admin.rs
+++ b/src/admin.rs
@@ -38,6 +38,8 @@
         .route("/readyz", web::get().to(ready))
         .route("/metrics", web::get().to(metrics))
         .route("/admin/status", web::get().to(status))
+        .route("/admin/members", web::get().to(members))
+        .route("/admin/reclaim", web::post().to(reclaim))
         .route("/admin/servers", web::get().to(servers))
         .route("/admin/servers/{server}/drain", web::post().to(drain))
         .route("/admin/servers/{server}/drain", web::delete().to(undrain))
@@ -127,10 +129,43 @@
     answer(&request, &shared, list).await
 }
 
+async fn members(request: HttpRequest, shared: Shared) -> HttpResponse {
+    let list = async {
+        shared
+            .context
+            .peers
+            .send(AskMembership)
+            .await
+            .map_err(stopped)
+    };
+    answer(&request, &shared, list).await
+}
+
+/// Body of a reclaim notice.
+#[derive(Deserialize)]
+struct ReclaimBody {
+    notice_ms: u64,
+}
+
+/// Takes a notice that this instance is reclaimed: its calls are handed over in time.
+async fn reclaim(
+    request: HttpRequest,
+    shared: Shared,
+    body: web::Json<ReclaimBody>,
+) -> HttpResponse {
+    let notice = Duration::from_millis(body.notice_ms);
+    let noted = async {
+        shared.context.stop_within(notice);
+        Ok(true)
+    };
+    answer(&request, &shared, noted).await
+}
+
 async fn set_drain(request: HttpRequest, shared: Shared, leaving: bool) -> HttpResponse {
     let server = request.match_info().query("server").into();
     let source = LeavingSource::Operator;
     let set = SetLeaving {
+        is_own_word: true,
         leaving,
         server,
         source,
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -48,8 +48,14 @@
             return Ok(());
         }
     }
+    let key = (join.account.clone(), session.clone());
+    let moved = match join.returned {
+        true => context.fetch_session(key).await,
+        false => None,
+    };
+    let moved = moved.filter(|state| state.body == join.body);
     let ask = ask_for(&join.chat, join.account.clone(), join.request_id.clone());
-    let placement = context.admit(ask.clone(), false).await?;
+    let placement = context.admit(ask.clone(), moved.is_some()).await?;
     let start = CallStart {
         ask,
         control: control_receiver,
@@ -57,15 +63,15 @@
         keyed: join.key.is_some(),
         request: join.chat,
         sink: Some((join.from, join.sink)),
-        state: CallState {
-            account: join.account.clone(),
+        state: moved.unwrap_or_else(|| CallState {
+            account: join.account,
             body: join.body,
             ends: Vec::new(),
             finish_reason: None,
             request_id: join.request_id,
-            session: session.clone(),
+            session,
             text: String::new(),
-        },
+        }),
     };
     spawn_call(context.clone(), start, placement);
     Ok(())
--- a/src/apply.rs
+++ b/src/apply.rs
@@ -46,6 +46,7 @@
     in_force: Arc<ArcSwap<TableInForce>>,
     log: LogClient,
     metrics: Metrics,
+    peers: Addr<PeerActor>,
     router: Addr<RouterActor>,
     settings: Arc<Settings>,
     shutdown: CancellationToken,
@@ -57,6 +58,7 @@
     pub fn new(
         settings: Arc<Settings>,
         router: Addr<RouterActor>,
+        peers: Addr<PeerActor>,
         in_force: Arc<ArcSwap<TableInForce>>,
         metrics: Metrics,
         shutdown: CancellationToken,
@@ -65,6 +67,7 @@
             in_force,
             log: LogClient::new(&settings.platform_url),
             metrics,
+            peers,
             router,
             settings,
             shutdown,
@@ -119,6 +122,7 @@
         self.router.do_send(apply);
         self.in_force
             .store(Arc::new(TableInForce { table, version }));
+        self.peers.do_send(AnnounceTable { version });
         info!("table version={version} before={current} source={source} in force");
     }
 
--- a/src/claim_actor.rs
+++ b/src/claim_actor.rs
@@ -87,13 +87,18 @@
             return;
         };
         let from = gatherer.next_offset();
+        // Claims wait until the log's tail has been read, so the first reads do not wait for more.
+        let wait = match gatherer.is_caught_up() {
+            true => READ_WAIT,
+            false => Duration::ZERO,
+        };
         let log = self.log.clone();
         let shutdown = self.shutdown.clone();
         let actor = context.address();
         actix_rt::spawn(async move {
             let stream = stream_name(partition);
             while !shutdown.is_cancelled() {
-                match log.read(&stream, from, READ_WAIT).await {
+                match log.read(&stream, from, wait).await {
                     Ok(read) => {
                         actor.do_send(PartitionRead { partition, read });
                         return;
--- a/src/context.rs
+++ b/src/context.rs
@@ -3,9 +3,11 @@
 use super::*;
 
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use tokio::sync::watch;
 
 /// The table in force, for readers outside the router.
 #[derive(Debug, Default)]
@@ -16,14 +18,27 @@
     pub version: TableVersion,
 }
 
+/// Counts of an instance for those who embed it.
+#[derive(Debug, Default)]
+pub struct InstanceCounts {
+    /// Live instances in all reachable data centres.
+    pub live_count: AtomicU32,
+    /// Calls taken over from other instances.
+    pub taken_over: AtomicU32,
+}
+
 /// Shared parts of an instance.
 pub struct Context {
-    /// Owner of the claims' gatherers.
-    pub claims: Addr<ClaimActor>,
+    /// Counts.
+    pub counts: Arc<InstanceCounts>,
     /// True once the instance is stopping: the balancer sends no new callers.
     draining: AtomicBool,
     /// Instruments.
     pub metrics: Metrics,
+    /// End of a reclaim notice's time, once there is one.
+    notice: watch::Sender<Option<Instant>>,
+    /// Owner of the membership.
+    pub peers: Addr<PeerActor>,
     /// Owner of the routing state.
     pub router: Addr<RouterActor>,
     /// Owner of the list of running model calls.
@@ -40,9 +55,11 @@
     /// Joins the parts of an instance.
     pub fn new(parts: ContextParts) -> Self {
         Self {
-            claims: parts.claims,
+            counts: Arc::default(),
             draining: AtomicBool::new(false),
             metrics: parts.metrics,
+            notice: watch::Sender::new(None),
+            peers: parts.peers,
             router: parts.router,
             sessions: parts.sessions,
             settings: parts.settings,
@@ -56,6 +73,24 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Takes a reclaim notice: the instance stops within the time it gives.
+    pub fn stop_within(&self, notice: Duration) {
+        let _ = self.notice.send(Some(Instant::now() + notice));
+    }
+
+    /// Waits for a reclaim notice; returns the end of its time.
+    pub async fn wait_for_notice(&self) -> Instant {
+        let mut notice = self.notice.subscribe();
+        loop {
+            if let Some(deadline) = *notice.borrow_and_update() {
+                return deadline;
+            }
+            if notice.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// Starts the stop: readiness turns false.
     pub fn set_draining(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -80,20 +115,33 @@
         self.sessions.send(open).await.map_err(|_| stopped())?
     }
 
+    /// Stops a session here and returns its state, if it is here.
+    pub async fn release_session(&self, key: SessionKey) -> Option<CallState> {
+        let control = self.sessions.send(TakeSession(key)).await.ok()??;
+        // Whoever asks is a caller who came back, so that other callers need not be held.
+        let (state, _moved) = release(&control).await?;
+        Some(state)
+    }
+
+    /// Moves a session here from another instance, if one has it.
+    pub async fn fetch_session(&self, key: SessionKey) -> Option<CallState> {
+        self.peers.send(FetchSession(key)).await.ok()?
+    }
+
     /// Orders a claim record by the log.
     pub async fn order(&self, record: ClaimRecord) -> Verdict {
         let partition = partition_of(record.key(), self.settings.claim_partitions);
-        let sent = self.claims.send(OrderRecord { partition, record }).await;
+        let sent = self.peers.send(OrderClaim { partition, record }).await;
         sent.unwrap_or(Verdict::Unavailable)
     }
 }
 
 /// Parts that [`Context::new`] joins.
 pub struct ContextParts {
-    /// Owner of the claims' gatherers.
-    pub claims: Addr<ClaimActor>,
     /// Instruments.
     pub metrics: Metrics,
+    /// Owner of the membership.
+    pub peers: Addr<PeerActor>,
     /// Owner of the routing state.
     pub router: Addr<RouterActor>,
     /// Owner of the list of running model calls.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -2,12 +2,14 @@
 
 use super::*;
 
+use std::io::ErrorKind;
 use std::pin::Pin;
 
 use actix_web::http::Method;
 use actix_web::http::header::HeaderMap;
 use awc::Client;
 use awc::Connector;
+use awc::error::ConnectError;
 use awc::error::PayloadError;
 use awc::error::SendRequestError;
 use futures_util::Stream;
@@ -213,9 +215,9 @@
 }
 
 fn attempt_error(error: &SendRequestError) -> AttemptError {
-    let failure = match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => Failure::Connect,
-        _ => Failure::Broken,
+    let failure = match is_proof_of_not_sent(error) {
+        true => Failure::Connect,
+        false => Failure::Broken,
     };
     AttemptError {
         failure,
@@ -223,6 +225,24 @@
     }
 }
 
+/// True if the error shows that no connection was made. The client reports a connection that
+/// breaks after the request was sent as a connection error too, so only the causes that cannot
+/// come from an open connection count.
+fn is_proof_of_not_sent(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(ConnectError::Timeout | ConnectError::Resolver(_)) => true,
+        SendRequestError::Connect(ConnectError::Io(error)) => matches!(
+            error.kind(),
+            ErrorKind::AddrNotAvailable
+                | ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+        ),
+        _ => false,
+    }
+}
+
 async fn read_error(
     mut response: awc::ClientResponse<
         impl Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -4,6 +4,7 @@
 
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 
 use actix_web::App;
@@ -18,6 +19,9 @@
 /// Longest time that a stop waits for requests in progress.
 const STOP_TIMEOUT_S: u64 = 600;
 
+/// Part of a notice that is kept for handing over.
+const HAND_OVER_TIME: Duration = Duration::from_millis(2_500);
+
 /// Connections of one worker.
 const CONNECTIONS_MAX: usize = 10_000;
 
@@ -26,7 +30,10 @@
     start_logging(settings.log_level);
     actix_rt::System::new().block_on(async move {
         let instance = Instance::launch(settings).await?;
-        wait_for_stop_signal().await?;
+        tokio::select! {
+            stopped = wait_for_stop_signal() => stopped?,
+            _ = instance.context.wait_for_notice() => {}
+        }
         instance.stop().await;
         Ok(())
     })
@@ -38,6 +45,7 @@
     caller_address: SocketAddr,
     peer_address: SocketAddr,
     stop: Option<oneshot::Sender<StopKind>>,
+    status: Arc<InstanceCounts>,
     table: Arc<ArcSwap<TableInForce>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -63,9 +71,13 @@
                     }
                 };
                 let _ = started.send(Ok(instance.addresses()));
-                match stopped.await {
-                    Ok(StopKind::Graceful) => instance.stop().await,
-                    Ok(StopKind::Abrupt) | Err(_) => instance.kill(),
+                let kind = tokio::select! {
+                    kind = stopped => kind.unwrap_or(StopKind::Abrupt),
+                    _ = instance.context.wait_for_notice() => StopKind::Graceful,
+                };
+                match kind {
+                    StopKind::Abrupt => instance.kill(),
+                    StopKind::Graceful => instance.stop().await,
                 }
             });
         });
@@ -78,6 +90,7 @@
             admin_address: addresses.admin,
             caller_address: addresses.callers,
             peer_address: addresses.peers,
+            status: addresses.counts,
             stop: Some(stop),
             table: addresses.table,
             thread: Some(thread),
@@ -99,6 +112,16 @@
         self.peer_address
     }
 
+    /// Live instances in all reachable data centres, as this one sees them.
+    pub fn live_count(&self) -> u32 {
+        self.status.live_count.load(Ordering::Relaxed)
+    }
+
+    /// Calls taken over from other instances.
+    pub fn taken_over(&self) -> u32 {
+        self.status.taken_over.load(Ordering::Relaxed)
+    }
+
     /// Version of the table in force.
     pub fn table_version(&self) -> TableVersion {
         self.table.load().version
@@ -139,6 +162,7 @@
 struct Addresses {
     admin: SocketAddr,
     callers: SocketAddr,
+    counts: Arc<InstanceCounts>,
     peers: SocketAddr,
     table: Arc<ArcSwap<TableInForce>>,
 }
@@ -150,6 +174,7 @@
     caller_address: SocketAddr,
     callers: ServerHandle,
     context: Arc<Context>,
+    peer_address: SocketAddr,
 }
 
 impl Instance {
@@ -161,23 +186,40 @@
         let router = Router::new(settings.data_centre.clone(), rand::random());
         let router = RouterActor::new(router, metrics.clone()).start();
         let claims = ClaimActor::new(settings.clone(), metrics.clone(), shutdown.clone()).start();
+        let (peer_listener, peer_address) = bind(settings.peer_address)?;
+        let peers = start_peers(
+            &settings,
+            peer_address,
+            &metrics,
+            &shutdown,
+            &router,
+            &claims,
+        );
         let table = TableActor::new(
             settings.clone(),
             router.clone(),
+            peers.clone(),
             in_force.clone(),
             metrics.clone(),
             shutdown.clone(),
         )
         .start();
         let context = Arc::new(Context::new(ContextParts {
-            claims,
-            metrics,
-            router,
+            metrics: metrics.clone(),
+            peers: peers.clone(),
+            router: router.clone(),
             sessions: Sessions::default().start(),
             settings: settings.clone(),
-            shutdown,
+            shutdown: shutdown.clone(),
             table: in_force,
         }));
+        router.do_send(SetAnnouncer(peers.clone().recipient()));
+        peers.do_send(Connect {
+            context: context.clone(),
+            table: table.clone(),
+        });
+        let peer_listener = into_tokio(peer_listener)?;
+        start_peer_server(peer_listener, peers, settings.clone(), metrics, shutdown);
         start_polling(&context);
         let (admin, admin_address) = start_admin(&context, table)?;
         let (callers, caller_address) = start_callers(&context)?;
@@ -191,6 +233,7 @@
             caller_address,
             callers,
             context,
+            peer_address,
         })
     }
 
@@ -198,7 +241,8 @@
         Addresses {
             admin: self.admin_address,
             callers: self.caller_address,
-            peers: self.context.settings.peer_address,
+            counts: self.context.counts.clone(),
+            peers: self.peer_address,
             table: self.context.table.clone(),
         }
     }
@@ -206,14 +250,52 @@
     /// Stops in order: readiness off, time for the balancer to notice, then the callers'
     /// listener once its requests have ended, then the rest.
     async fn stop(self) {
+        let context = self.context.clone();
+        tokio::select! {
+            () = self.stop_planned() => {}
+            // A notice that comes during a planned stop shortens it.
+            deadline = context.wait_for_notice() => self.stop_by(deadline).await,
+        }
+    }
+
+    async fn stop_planned(&self) {
         let instance = &self.context.settings.instance;
         info!("stop instance={instance} draining");
-        self.context.set_draining();
+        self.begin_drain();
         tokio::time::sleep(self.context.settings.drain).await;
         self.callers.stop(true).await;
+        // Callers that came back by key may still find their finished calls elsewhere.
+        hand_over_all(&self.context).await;
+        self.finish_stop().await;
+    }
+
+    /// Stops before a deadline: what has not ended shortly before it is handed over.
+    async fn stop_by(&self, deadline: Instant) {
+        let instance = &self.context.settings.instance;
+        info!("stop instance={instance} reclaimed");
+        self.begin_drain();
+        let hand_over_at = deadline
+            .checked_sub(HAND_OVER_TIME)
+            .unwrap_or_else(Instant::now);
+        let ended = tokio::time::timeout_at(hand_over_at.into(), self.callers.stop(true)).await;
+        let (taken, lost) = hand_over_all(&self.context).await;
+        info!(
+            "stop instance={instance} all_ended={} handed_over={taken} not_taken={lost}",
+            ended.is_ok()
+        );
+        self.finish_stop().await;
+    }
+
+    fn begin_drain(&self) {
+        self.context.set_draining();
+        self.context.peers.do_send(AnnounceLeaving);
+    }
+
+    async fn finish_stop(&self) {
         self.context.shutdown.cancel();
+        drop(self.callers.stop(false));
         self.admin.stop(true).await;
-        info!("stop instance={instance} done");
+        info!("stop instance={} done", self.context.settings.instance);
     }
 
     /// Ends without waiting for anything.
@@ -225,6 +307,44 @@
     }
 }
 
+fn start_peers(
+    settings: &Arc<Settings>,
+    peer_address: SocketAddr,
+    metrics: &Metrics,
+    shutdown: &CancellationToken,
+    router: &Addr<RouterActor>,
+    claims: &Addr<ClaimActor>,
+) -> Addr<PeerActor> {
+    let own = Member {
+        data_centre: settings.data_centre.clone(),
+        dead: false,
+        epoch: unix_ms(),
+        instance: settings.instance.clone(),
+        leaving: false,
+        peer_address,
+    };
+    let members = Members::new(own, settings.peers.clone());
+    let links = PeerLinks::new(settings, metrics.clone(), shutdown.clone());
+    PeerActor::new(members, links, router.clone(), claims.clone()).start()
+}
+
+/// First epoch of a life. It is only compared with earlier lives of the same instance, and raised
+/// if one of them had a higher one.
+fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+fn into_tokio(listener: TcpListener) -> Result<tokio::net::TcpListener> {
+    let converted = listener
+        .set_nonblocking(true)
+        .and_then(|()| tokio::net::TcpListener::from_std(listener));
+    converted.map_err(|error| Error::Address {
+        address: "peer listener".to_owned(),
+        reason: error.to_string(),
+    })
+}
+
 fn start_callers(context: &Arc<Context>) -> Result<(ServerHandle, SocketAddr)> {
     let settings = &context.settings;
     let (listener, address) = bind(settings.caller_address)?;
--- a/src/gather.rs
+++ b/src/gather.rs
@@ -134,6 +134,11 @@
         self.index.skip_to(start, first_time_ms);
     }
 
+    /// True once everything up to the log's tail has been read.
+    pub fn is_caught_up(&self) -> bool {
+        self.caught_up
+    }
+
     /// Takes note that everything up to the log's tail has been read.
     pub fn set_caught_up(&mut self) {
         self.caught_up = true;
--- /dev/null
+++ b/src/member_wire.rs
@@ -0,0 +1,147 @@
+//! Conversions of membership messages from and to their wire types.
+
+use super::*;
+
+use wire::frame::Body;
+
+impl From<&Member> for wire::Member {
+    fn from(member: &Member) -> Self {
+        Self {
+            instance: member.instance.to_string(),
+            epoch: member.epoch,
+            data_centre: member.data_centre.to_string(),
+            peer_address: member.peer_address.to_string(),
+            leaving: member.leaving,
+            dead: member.dead,
+        }
+    }
+}
+
+impl TryFrom<wire::Member> for Member {
+    type Error = Error;
+
+    fn try_from(member: wire::Member) -> Result<Self> {
+        Ok(Self {
+            data_centre: member.data_centre.into(),
+            dead: member.dead,
+            epoch: member.epoch,
+            instance: member.instance.into(),
+            leaving: member.leaving,
+            peer_address: peer_address(&member.peer_address)?,
+        })
+    }
+}
+
+impl From<&CentreSummary> for wire::CentreSummary {
+    fn from(summary: &CentreSummary) -> Self {
+        Self {
+            data_centre: summary.data_centre.to_string(),
+            sequence: summary.sequence,
+            live_count: summary.live_count,
+            table_version: summary.table_version,
+            contacts: summary.contacts.iter().map(wire::Member::from).collect(),
+            from: summary.from.to_string(),
+        }
+    }
+}
+
+impl TryFrom<wire::CentreSummary> for CentreSummary {
+    type Error = Error;
+
+    fn try_from(summary: wire::CentreSummary) -> Result<Self> {
+        Ok(Self {
+            contacts: members(summary.contacts)?,
+            data_centre: summary.data_centre.into(),
+            from: summary.from.into(),
+            live_count: summary.live_count,
+            sequence: summary.sequence,
+            table_version: summary.table_version,
+        })
+    }
+}
+
+impl From<&MemberMessage> for Body {
+    fn from(message: &MemberMessage) -> Self {
+        match message {
+            MemberMessage::Beat {
+                directory_hash,
+                epoch,
+                instance,
+                table_version,
+            } => Self::Beat(wire::Beat {
+                instance: instance.to_string(),
+                epoch: *epoch,
+                directory_hash: *directory_hash,
+                table_version: *table_version,
+            }),
+            MemberMessage::Directory { centres, members } => Self::Directory(wire::Directory {
+                members: members.iter().map(wire::Member::from).collect(),
+                centres: centres.iter().map(wire::CentreSummary::from).collect(),
+            }),
+            MemberMessage::Note(member) => Self::MemberNote(wire::MemberNote {
+                member: Some(member.into()),
+            }),
+            MemberMessage::Summary(summary) => Self::CentreSummary(summary.into()),
+            MemberMessage::Vouch { epoch, instance } => Self::Vouch(wire::Vouch {
+                instance: instance.to_string(),
+                epoch: *epoch,
+            }),
+            MemberMessage::VouchRequest { asker, instance } => {
+                Self::VouchRequest(wire::VouchRequest {
+                    instance: instance.to_string(),
+                    asker_address: asker.to_string(),
+                })
+            }
+        }
+    }
+}
+
+impl TryFrom<Body> for MemberMessage {
+    type Error = Error;
+
+    fn try_from(body: Body) -> Result<Self> {
+        match body {
+            Body::Beat(beat) => Ok(Self::Beat {
+                directory_hash: beat.directory_hash,
+                epoch: beat.epoch,
+                instance: beat.instance.into(),
+                table_version: beat.table_version,
+            }),
+            Body::CentreSummary(summary) => Ok(Self::Summary(summary.try_into()?)),
+            Body::Directory(directory) => {
+                let mut centres = Vec::new();
+                for summary in directory.centres {
+                    centres.push(summary.try_into()?);
+                }
+                Ok(Self::Directory {
+                    centres,
+                    members: members(directory.members)?,
+                })
+            }
+            Body::MemberNote(note) => Ok(Self::Note(note.member.unwrap_or_default().try_into()?)),
+            Body::Vouch(vouch) => Ok(Self::Vouch {
+                epoch: vouch.epoch,
+                instance: vouch.instance.into(),
+            }),
+            Body::VouchRequest(request) => Ok(Self::VouchRequest {
+                asker: peer_address(&request.asker_address)?,
+                instance: request.instance.into(),
+            }),
+            _ => Err(Error::Peer {
+                address: "frame".to_owned(),
+                reason: "is not a membership message".to_owned(),
+            }),
+        }
+    }
+}
+
+fn members(wire_members: Vec<wire::Member>) -> Result<Vec<Member>> {
+    wire_members.into_iter().map(Member::try_from).collect()
+}
+
+fn peer_address(text: &str) -> Result<SocketAddr> {
+    text.parse().map_err(|_| Error::Peer {
+        address: shorten(text),
+        reason: "is not an address".to_owned(),
+    })
+}
--- /dev/null
+++ b/src/peer_link.rs
@@ -0,0 +1,161 @@
+//! Outgoing connections to peers: frames without an answer, and requests with one.
+//!
+//! A link is opened when first needed and closed when idle. Its queue is bounded; when it is full
+//! or the peer cannot be reached, frames are dropped, as their senders expect of a network.
+
+use super::*;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use futures_util::SinkExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use wire::frame::Body;
+
+/// Frames that wait for one peer.
+const QUEUE_FRAMES: usize = 1_024;
+
+/// Time for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time to write a frame.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A link without frames is closed after this long.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+type Waiting = Rc<RefCell<HashMap<u64, oneshot::Sender<Body>>>>;
+
+/// Links of one instance, used on one thread.
+#[derive(Clone)]
+pub struct PeerLinks {
+    instance: InstanceName,
+    key: SmolStr,
+    links: Rc<RefCell<HashMap<SocketAddr, mpsc::Sender<wire::Frame>>>>,
+    metrics: Metrics,
+    next_request_id: Rc<RefCell<u64>>,
+    shutdown: CancellationToken,
+    waiting: Waiting,
+}
+
+impl PeerLinks {
+    /// Creates links that show the peer key of the settings.
+    pub fn new(settings: &Settings, metrics: Metrics, shutdown: CancellationToken) -> Self {
+        Self {
+            instance: settings.instance.clone(),
+            key: settings.peer_key.as_str().into(),
+            links: Rc::default(),
+            metrics,
+            next_request_id: Rc::default(),
+            shutdown,
+            waiting: Rc::default(),
+        }
+    }
+
+    /// Sends a frame that is not answered.
+    pub fn send(&self, to: SocketAddr, body: Body) {
+        let body = Some(body);
+        self.queue(
+            to,
+            wire::Frame {
+                request_id: 0,
+                body,
+            },
+        );
+    }
+
+    /// Sends a request and waits for its answer. `None` if there is none in time: the peer may
+    /// have acted on it or not.
+    pub async fn request(&self, to: SocketAddr, body: Body, wait: Duration) -> Option<Body> {
+        let request_id = {
+            let mut next = self.next_request_id.borrow_mut();
+            *next += 1;
+            *next
+        };
+        let (asker, answer) = oneshot::channel();
+        self.waiting.borrow_mut().insert(request_id, asker);
+        let body = Some(body);
+        self.queue(to, wire::Frame { request_id, body });
+        let answer = timeout(wait, answer).await;
+        self.waiting.borrow_mut().remove(&request_id);
+        answer.ok()?.ok()
+    }
+
+    fn queue(&self, to: SocketAddr, frame: wire::Frame) {
+        let link = self.links.borrow().get(&to).cloned();
+        let frame = match link {
+            Some(link) => match link.try_send(frame) {
+                Ok(()) => return,
+                Err(mpsc::error::TrySendError::Full(_)) => {
+                    debug!("peer {to}: queue is full, frame dropped");
+                    return;
+                }
+                Err(mpsc::error::TrySendError::Closed(frame)) => frame,
+            },
+            None => frame,
+        };
+        let (link, frames) = mpsc::channel(QUEUE_FRAMES);
+        // The queue is empty, so the frame fits.
+        let _ = link.try_send(frame);
+        self.links.borrow_mut().insert(to, link);
+        let links = self.clone();
+        actix_rt::spawn(async move {
+            if let Err(error) = links.run(to, frames).await {
+                debug!("peer {to}: {error}");
+            }
+        });
+    }
+
+    /// Writes queued frames and reads answers until the link is idle or breaks.
+    async fn run(
+        &self,
+        to: SocketAddr,
+        mut frames: mpsc::Receiver<wire::Frame>,
+    ) -> std::io::Result<()> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await??;
+        stream.set_nodelay(true)?;
+        let mut framed = Framed::new(stream, PeerCodec::new(FRAME_MAX_BYTES));
+        let hello = wire::Hello {
+            key: self.key.to_string(),
+            instance: self.instance.to_string(),
+        };
+        let hello = wire::Frame {
+            request_id: 0,
+            body: Some(Body::Hello(hello)),
+        };
+        framed.send(hello).await?;
+        loop {
+            tokio::select! {
+                frame = timeout(IDLE_TIMEOUT, frames.recv()) => {
+                    let Ok(Some(frame)) = frame else {
+                        return Ok(());
+                    };
+                    self.count_sent(&frame);
+                    timeout(WRITE_TIMEOUT, framed.send(frame)).await??;
+                }
+                answer = framed.next() => match answer {
+                    Some(answer) => self.take_answer(answer?),
+                    None => return Ok(()),
+                },
+                () = self.shutdown.cancelled() => return Ok(()),
+            }
+        }
+    }
+
+    fn take_answer(&self, (frame, bytes): (wire::Frame, usize)) {
+        self.metrics.control(frame_kind(&frame), "received", bytes);
+        let asker = self.waiting.borrow_mut().remove(&frame.request_id);
+        if let (Some(asker), Some(body)) = (asker, frame.body) {
+            // The asker may have given up.
+            let _ = asker.send(body);
+        }
+    }
+
+    fn count_sent(&self, frame: &wire::Frame) {
+        use prost::Message as _;
+        self.metrics
+            .control(frame_kind(frame), "sent", frame.encoded_len());
+    }
+}
--- /dev/null
+++ b/src/peer_server.rs
@@ -0,0 +1,164 @@
+//! Listener for the other instances' frames.
+
+use super::*;
+
+use futures_util::SinkExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use tokio_util::codec::FramedParts;
+use wire::frame::Body;
+
+/// Time for the first frame.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A connection without frames is closed after this long.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+
+/// Connections at once; further ones are closed.
+const CONNECTIONS_MAX: usize = 2_048;
+
+/// Answers that are worked on for one connection.
+const ANSWERS_MAX: usize = 1_024;
+
+/// Serves peers on a bound listener until the shutdown token.
+pub fn start_peer_server(
+    listener: TcpListener,
+    peers: Addr<PeerActor>,
+    settings: Arc<Settings>,
+    metrics: Metrics,
+    shutdown: CancellationToken,
+) {
+    let slots = Arc::new(tokio::sync::Semaphore::new(CONNECTIONS_MAX));
+    actix_rt::spawn(async move {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = shutdown.cancelled() => return,
+            };
+            let Ok((stream, address)) = accepted else {
+                continue;
+            };
+            let Ok(slot) = slots.clone().try_acquire_owned() else {
+                continue;
+            };
+            let connection = Connection {
+                address,
+                metrics: metrics.clone(),
+                peers: peers.clone(),
+                settings: settings.clone(),
+                shutdown: shutdown.clone(),
+            };
+            actix_rt::spawn(async move {
+                if let Err(error) = connection.serve(stream).await {
+                    warn!("{error}");
+                }
+                drop(slot);
+            });
+        }
+    });
+}
+
+struct Connection {
+    address: SocketAddr,
+    metrics: Metrics,
+    peers: Addr<PeerActor>,
+    settings: Arc<Settings>,
+    shutdown: CancellationToken,
+}
+
+impl Connection {
+    async fn serve(self, stream: TcpStream) -> Result {
+        stream
+            .set_nodelay(true)
+            .map_err(|error| self.failed(error.to_string()))?;
+        // Until the peer has shown its key only a short frame is read.
+        let mut framed = Framed::new(stream, PeerCodec::new(HELLO_MAX_BYTES));
+        let from = self.read_hello(&mut framed).await?;
+        let parts = framed.into_parts();
+        let codec = PeerCodec::new(FRAME_MAX_BYTES);
+        let mut known = FramedParts::new::<wire::Frame>(parts.io, codec);
+        known.read_buf = parts.read_buf;
+        self.serve_frames(Framed::from_parts(known), from).await
+    }
+
+    async fn read_hello(&self, framed: &mut Framed<TcpStream, PeerCodec>) -> Result<InstanceName> {
+        let first = timeout(HELLO_TIMEOUT, framed.next()).await;
+        let frame = match first {
+            Ok(Some(Ok((frame, _)))) => frame,
+            Ok(Some(Err(error))) => return Err(self.failed(format!("first frame: {error}"))),
+            Ok(None) | Err(_) => return Err(self.failed("sent no first frame".to_owned())),
+        };
+        let Some(Body::Hello(hello)) = frame.body else {
+            return Err(self.failed("first frame is not a hello".to_owned()));
+        };
+        let given = hash_account_key(&hello.key);
+        let wanted = hash_account_key(&self.settings.peer_key);
+        match bool::from(given.ct_eq(&wanted)) {
+            true => Ok(hello.instance.into()),
+            false => Err(self.failed("peer key is wrong".to_owned())),
+        }
+    }
+
+    async fn serve_frames(
+        &self,
+        mut framed: Framed<TcpStream, PeerCodec>,
+        from: InstanceName,
+    ) -> Result {
+        let (answer_sender, mut answers) = mpsc::channel::<wire::Frame>(ANSWERS_MAX);
+        loop {
+            tokio::select! {
+                next = timeout(IDLE_TIMEOUT, framed.next()) => {
+                    let Ok(Some(next)) = next else {
+                        return Ok(());
+                    };
+                    let (frame, bytes) = next.map_err(|error| self.failed(error.to_string()))?;
+                    self.metrics.control(frame_kind(&frame), "received", bytes);
+                    self.take(frame, &from, &answer_sender);
+                }
+                Some(answer) = answers.recv() => {
+                    use prost::Message as _;
+                    self.metrics.control(frame_kind(&answer), "sent", answer.encoded_len());
+                    framed.send(answer).await.map_err(|error| self.failed(error.to_string()))?;
+                }
+                () = self.shutdown.cancelled() => return Ok(()),
+            }
+        }
+    }
+
+    /// Hands a frame to the peer actor; its answer, if any, is written when it is there.
+    fn take(&self, frame: wire::Frame, from: &InstanceName, answers: &mpsc::Sender<wire::Frame>) {
+        let Some(body) = frame.body else {
+            return;
+        };
+        let from = from.clone();
+        let inbound = InboundFrame { body, from };
+        if frame.request_id == 0 {
+            self.peers.do_send(inbound);
+            return;
+        }
+        let Ok(permit) = answers.clone().try_reserve_owned() else {
+            debug!(
+                "peer {}: too many requests, one is not answered",
+                self.address
+            );
+            return;
+        };
+        let peers = self.peers.clone();
+        actix_rt::spawn(async move {
+            let body = peers.send(inbound).await.ok().flatten();
+            permit.send(wire::Frame {
+                request_id: frame.request_id,
+                body,
+            });
+        });
+    }
+
+    fn failed(&self, reason: String) -> Error {
+        Error::Peer {
+            address: self.address.to_string(),
+            reason,
+        }
+    }
+}
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -248,10 +248,17 @@
             .send_plain(&placement.server, to_send, true)
             .await;
         let failed = match sent {
-            Ok(answer) => {
-                end_attempt(context, &ask, &placement);
-                return finish_once(worker, request, call, &placement, answer).await;
-            }
+            Ok(answer) => match finish_once(context, request, &mut call, answer).await {
+                Ok(response) => {
+                    end_attempt(context, &ask, &placement);
+                    return Ok(response);
+                }
+                Err(OnceFailure::Error(error)) => {
+                    end_attempt(context, &ask, &placement);
+                    return Err(error);
+                }
+                Err(OnceFailure::Lost(failed)) => failed,
+            },
             Err(failed) => failed,
         };
         log_failed(request, &placement, &failed);
@@ -281,46 +288,51 @@
 
 /// Reads the answer whole, records it and passes it on.
 async fn finish_once(
-    worker: &Worker,
+    context: &Arc<Context>,
     request: &PlainRequest,
-    mut call: OnceCall,
-    placement: &Placement,
-    mut answer: Answer,
-) -> Result<HttpResponse> {
-    let context = &worker.context;
-    let mut body = BytesMut::new();
-    while let Some(chunk) = answer.body.next().await {
-        let too_long = body.len() > ONCE_ANSWER_MAX_BYTES;
-        let reason = match chunk {
-            Ok(chunk) if !too_long => {
-                body.extend_from_slice(&chunk);
-                continue;
-            }
-            Ok(_) => format!("answer is over {ONCE_ANSWER_MAX_BYTES} bytes"),
-            Err(error) => error.to_string(),
-        };
-        return Err(Error::DispatchLost {
-            server: placement.server.name.clone(),
-            reason,
-        });
-    }
-    let body = body.freeze();
-    let content_type = answer.headers.get("content-type");
+    call: &mut OnceCall,
+    answer: Answer,
+) -> Result<HttpResponse, OnceFailure> {
+    let (status, headers) = (answer.status, answer.headers.clone());
+    let body = read_whole(answer).await.map_err(OnceFailure::Lost)?;
+    let content_type = headers.get("content-type");
     let content_type = content_type
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default();
-    let record = call.settle(recorded_answer(answer.status, content_type, &body))?;
-    record_later(context, record);
-    log_whole(
-        context,
-        &request.request_id,
-        &format!("status={}", answer.status),
-    );
-    let mut builder = response(answer.status, &request.request_id, Outcome::Whole);
-    pass_headers(&mut builder, &answer.headers);
+    let settled = call.settle(recorded_answer(status, content_type, &body));
+    record_later(context, settled.map_err(OnceFailure::Error)?);
+    log_whole(context, &request.request_id, &format!("status={status}"));
+    let mut builder = response(status, &request.request_id, Outcome::Whole);
+    pass_headers(&mut builder, &headers);
     Ok(builder.body(body))
 }
 
+/// Why a call that was sent has no answer to pass on.
+enum OnceFailure {
+    /// An error for the caller.
+    Error(Error),
+    /// The answer did not arrive whole.
+    Lost(AttemptError),
+}
+
+async fn read_whole(mut answer: Answer) -> Result<Bytes, AttemptError> {
+    let broken = |reason: String| AttemptError {
+        failure: Failure::Broken,
+        reason,
+    };
+    let mut body = BytesMut::new();
+    while let Some(chunk) = answer.body.next().await {
+        let chunk = chunk.map_err(|error| broken(error.to_string()))?;
+        if body.len() + chunk.len() > ONCE_ANSWER_MAX_BYTES {
+            return Err(broken(format!(
+                "answer is over {ONCE_ANSWER_MAX_BYTES} bytes"
+            )));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
 /// Asks the server whether a call whose answer was lost ran. Its "no" proves nothing, as the call
 /// may still be on its way; its record of the run is the answer.
 async fn settle_by_lookup(
--- a/src/poller.rs
+++ b/src/poller.rs
@@ -31,17 +31,33 @@
     actix_rt::spawn(async move { poll_servers(servers_context).await });
     let list_context = context.clone();
     actix_rt::spawn(async move { poll_instance_list(list_context).await });
+    let notice_context = context.clone();
+    actix_rt::spawn(async move { poll_notice(notice_context).await });
 }
 
-/// Polls every backend server once an interval, each in a task of its own so that a slow one
-/// does not hold up the others.
+/// Polls the backend servers that fall to this instance once an interval, each in a task of its
+/// own so that a slow one does not hold up the others, and tells the data centre of their load.
 async fn poll_servers(context: Arc<Context>) {
     let dispatcher = std::rc::Rc::new(Dispatcher::new());
     let mut interval = tokio::time::interval(POLL_INTERVAL);
     while !context.shutdown.is_cancelled() {
         interval.tick().await;
         let in_force = context.table.load_full();
+        let names = in_force
+            .table
+            .servers
+            .iter()
+            .map(|server| server.name.clone())
+            .collect();
+        let polled = context
+            .peers
+            .send(AskPolled(names))
+            .await
+            .unwrap_or_default();
         for server in &in_force.table.servers {
+            if !polled.contains(&server.name) {
+                continue;
+            }
             let context = context.clone();
             let dispatcher = dispatcher.clone();
             let name = server.name.clone();
@@ -70,13 +86,41 @@
         server: server.clone(),
     });
     let source = LeavingSource::Server;
+    context
+        .peers
+        .do_send(Announce::Loads(vec![(server.clone(), report)]));
     context.router.do_send(SetLeaving {
+        is_own_word: true,
         leaving: load.leaving,
         server,
         source,
     });
 }
 
+/// A notice that this instance will be reclaimed.
+#[derive(Deserialize)]
+struct NoticeBody {
+    left_ms: u64,
+}
+
+/// Asks the cloud API whether this instance is reclaimed, until it is.
+async fn poll_notice(context: Arc<Context>) {
+    let dispatcher = Dispatcher::new();
+    let platform_url = context.settings.platform_url.trim_end_matches('/');
+    let url = format!("{platform_url}/cloud/notice/{}", context.settings.instance);
+    let mut interval = tokio::time::interval(POLL_INTERVAL);
+    while !context.shutdown.is_cancelled() {
+        interval.tick().await;
+        let Ok((200, body)) = dispatcher.fetch(&url, POLL_TIMEOUT).await else {
+            continue;
+        };
+        if let Ok(notice) = serde_json::from_slice::<NoticeBody>(&body) {
+            context.stop_within(Duration::from_millis(notice.left_ms));
+            return;
+        }
+    }
+}
+
 async fn poll_instance_list(context: Arc<Context>) {
     let dispatcher = Dispatcher::new();
     let url = format!(
@@ -97,6 +141,7 @@
         };
         for instance in listed {
             context.router.do_send(SetLeaving {
+                is_own_word: true,
                 leaving: instance.state == "leaving",
                 server: instance.name,
                 source: LeavingSource::InstanceList,
--- a/src/router.rs
+++ b/src/router.rs
@@ -267,6 +267,7 @@
         failure: Failure,
         tried: &[ServerName],
     ) -> Result<Placement> {
+        let failure = self.cause_of(failure, &failed.server.name);
         self.end_attempt(now, ask, failed, Some(failure));
         if self.quarantine.holds(ask.content_hash) {
             return Err(Error::Quarantined {
@@ -288,6 +289,15 @@
         self.choose(now, account, ask, Some(failed), tried)
     }
 
+    /// A leaving server's connections break because it leaves, not because of what it ran.
+    pub fn cause_of(&self, failure: Failure, server: &ServerName) -> Failure {
+        let state = self.servers.iter().find(|state| state.row.name == *server);
+        match state {
+            Some(state) if !state.leaving.is_empty() => Failure::Leaving,
+            _ => failure,
+        }
+    }
+
     /// Ends an attempt that gave a whole answer, or whose request is given up.
     pub fn end_attempt(
         &mut self,
--- a/src/router_actor.rs
+++ b/src/router_actor.rs
@@ -74,6 +74,8 @@
 #[derive(Message)]
 #[rtype(result = "bool")]
 pub struct SetLeaving {
+    /// True if this instance found it out itself, and so tells the others.
+    pub is_own_word: bool,
     /// True if it is leaving.
     pub leaving: bool,
     /// The server.
@@ -125,6 +127,14 @@
     pub f64,
 );
 
+/// Sets who tells the other instances of news.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct SetAnnouncer(
+    /// Owner of the membership.
+    pub Recipient<Announce>,
+);
+
 /// Status of a backend server as this instance sees it.
 #[derive(Debug, Clone, Serialize)]
 pub struct ServerStatus {
@@ -147,6 +157,7 @@
 
 /// Owner of the routing state.
 pub struct RouterActor {
+    announcer: Option<Recipient<Announce>>,
     metrics: Metrics,
     router: Router,
     started_at: Instant,
@@ -156,6 +167,7 @@
     /// Creates the actor with a state.
     pub fn new(router: Router, metrics: Metrics) -> Self {
         Self {
+            announcer: None,
             metrics,
             router,
             started_at: Instant::now(),
@@ -166,6 +178,30 @@
         self.started_at.elapsed()
     }
 
+    /// Tells the other instances what a failed attempt says of its server or its content.
+    fn announce_failure(&self, ask: &Ask, failed: &Placement, failure: Failure) {
+        let server = failed.server.name.clone();
+        match failure {
+            Failure::Broken if ask.content_hash != 0 => self.announce(Announce::Suspect {
+                account: ask.account.clone(),
+                content_hash: ask.content_hash,
+                server,
+            }),
+            Failure::Leaving => self.announce(Announce::ServerLeaving {
+                leaving: true,
+                server,
+                source: LeavingSource::Server,
+            }),
+            Failure::Broken | Failure::Connect | Failure::Status => {}
+        }
+    }
+
+    fn announce(&self, news: Announce) {
+        if let Some(announcer) = &self.announcer {
+            announcer.do_send(news);
+        }
+    }
+
     /// Reports violated invariants before the result goes to the request.
     fn checked<T>(&self, result: Result<T>) -> Result<T> {
         if let Err(Error::Invariant { invariant }) = &result {
@@ -211,7 +247,9 @@
             tried,
         } = message;
         let now = self.now();
+        let cause = self.router.cause_of(failure, &failed.server.name);
         let placed = self.router.retry(now, &ask, &failed, failure, &tried);
+        self.announce_failure(&ask, &failed, cause);
         self.checked(placed)
     }
 }
@@ -262,6 +300,13 @@
         let news = self
             .router
             .set_leaving(&message.server, message.source, message.leaving);
+        if news && message.is_own_word {
+            self.announce(Announce::ServerLeaving {
+                leaving: message.leaving,
+                server: message.server.clone(),
+                source: message.source,
+            });
+        }
         if news {
             info!(
                 "drain server={} leaving={} source={:?}",
@@ -316,6 +361,14 @@
     }
 }
 
+impl Handler<SetAnnouncer> for RouterActor {
+    type Result = ();
+
+    fn handle(&mut self, message: SetAnnouncer, _: &mut Self::Context) {
+        self.announcer = Some(message.0);
+    }
+}
+
 impl Handler<ListServers> for RouterActor {
     type Result = Vec<ServerStatus>;
 
--- a/src/sessions.rs
+++ b/src/sessions.rs
@@ -38,6 +38,14 @@
     pub SessionKey,
 );
 
+/// Removes and returns one call, to be moved to another instance.
+#[derive(Message)]
+#[rtype(result = "Option<mpsc::Sender<CallControl>>")]
+pub struct TakeSession(
+    /// Account and session name.
+    pub SessionKey,
+);
+
 /// Removes and returns all calls, to be handed over.
 #[derive(Message)]
 #[rtype(result = "Vec<mpsc::Sender<CallControl>>")]
@@ -88,6 +96,16 @@
     }
 }
 
+impl Handler<TakeSession> for Sessions {
+    type Result = Option<mpsc::Sender<CallControl>>;
+
+    fn handle(&mut self, message: TakeSession, _: &mut Self::Context) -> Self::Result {
+        self.sessions
+            .remove(&message.0)
+            .map(|session| session.control)
+    }
+}
+
 impl Handler<TakeSessions> for Sessions {
     type Result = Vec<mpsc::Sender<CallControl>>;
 
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -25,6 +25,9 @@
 /// A finished call can be fetched again for this long.
 pub const SESSION_TTL: Duration = Duration::from_secs(120);
 
+/// Callers are let go at the latest after this part of a hand-over.
+const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Servers that a call may try.
 const ATTEMPTS_MAX: usize = 8;
 
@@ -102,6 +105,9 @@
     },
     /// Stops the call here and gives what another instance needs to go on.
     HandOver {
+        /// Resolves once the other instance has the call; until then callers stay attached, so
+        /// that they do not come back too early.
+        moved: oneshot::Receiver<()>,
         /// Takes the state of the call.
         reply: oneshot::Sender<CallState>,
     },
@@ -202,6 +208,8 @@
     context: Arc<Context>,
     control: mpsc::Receiver<CallControl>,
     dispatcher: Rc<Dispatcher>,
+    /// The caller that the call starts with.
+    first_sink: Option<(Position, mpsc::Sender<CallEvent>)>,
     /// True if the caller gave a key and may come back.
     keyed: bool,
     request: ChatRequest,
@@ -235,10 +243,6 @@
 impl ModelCall {
     /// Prepares a call; [`run`](Self::run) carries it out.
     pub fn new(context: Arc<Context>, start: CallStart) -> Self {
-        let mut sinks = SmallVec::new();
-        if let Some((has, channel)) = start.sink {
-            sinks.push(Sink { channel, has });
-        }
         Self {
             ask: start.ask,
             context,
@@ -246,7 +250,8 @@
             dispatcher: start.dispatcher,
             keyed: start.keyed,
             request: start.request,
-            sinks,
+            first_sink: start.sink,
+            sinks: SmallVec::new(),
             started_at: Instant::now(),
             state: start.state,
             text_only: true,
@@ -256,6 +261,9 @@
 
     /// Carries the call to its end. `placement` is its first attempt's.
     pub async fn run(mut self, placement: Placement) {
+        if let Some((has, channel)) = self.first_sink.take() {
+            self.attach(has, channel).await;
+        }
         let mut tried: Vec<ServerName> = Vec::new();
         let mut placement = placement;
         let tokens_before = self.state.tokens();
@@ -537,9 +545,11 @@
                 self.attach(from, sink).await;
                 false
             }
-            CallControl::HandOver { reply } => {
+            CallControl::HandOver { moved, reply } => {
                 let handed = reply.send(self.state.clone()).is_ok();
                 if handed {
+                    // Resolves too, with an error, if the other side gives up.
+                    let _ = timeout(MOVE_TIMEOUT, moved).await;
                     self.sinks.clear();
                 }
                 handed
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -248,9 +248,13 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Frame {
+    /// Joins a reply to its request; 0 for frames that are not answered.
     #[prost(uint64, tag = "1")]
     pub request_id: u64,
-    #[prost(oneof = "frame::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "frame::Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+    )]
     pub body: ::core::option::Option<frame::Body>,
 }
 /// Nested message and enum types in `Frame`.
@@ -260,25 +264,41 @@
         #[prost(message, tag = "2")]
         Hello(super::Hello),
         #[prost(message, tag = "3")]
-        Heartbeat(super::Heartbeat),
+        Beat(super::Beat),
         #[prost(message, tag = "4")]
-        TableRequest(super::TableRequest),
+        Directory(super::Directory),
         #[prost(message, tag = "5")]
-        TableReply(super::TableReply),
+        MemberNote(super::MemberNote),
         #[prost(message, tag = "6")]
-        ClaimRequest(super::ClaimRequest),
+        VouchRequest(super::VouchRequest),
         #[prost(message, tag = "7")]
-        ClaimReply(super::ClaimReply),
+        Vouch(super::Vouch),
         #[prost(message, tag = "8")]
-        Handover(super::Handover),
+        CentreSummary(super::CentreSummary),
         #[prost(message, tag = "9")]
-        HandoverAck(super::HandoverAck),
+        TableNotice(super::TableNotice),
         #[prost(message, tag = "10")]
-        SessionRequest(super::SessionRequest),
+        TableRequest(super::TableRequest),
         #[prost(message, tag = "11")]
-        SessionReply(super::SessionReply),
+        TableReply(super::TableReply),
         #[prost(message, tag = "12")]
-        Drain(super::Drain),
+        ClaimRequest(super::ClaimRequest),
+        #[prost(message, tag = "13")]
+        ClaimReply(super::ClaimReply),
+        #[prost(message, tag = "14")]
+        Handover(super::Handover),
+        #[prost(message, tag = "15")]
+        HandoverAck(super::HandoverAck),
+        #[prost(message, tag = "16")]
+        SessionRequest(super::SessionRequest),
+        #[prost(message, tag = "17")]
+        SessionReply(super::SessionReply),
+        #[prost(message, tag = "18")]
+        ServerNote(super::ServerNote),
+        #[prost(message, tag = "19")]
+        SuspectNote(super::SuspectNote),
+        #[prost(message, tag = "20")]
+        LoadNote(super::LoadNote),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -289,36 +309,87 @@
     pub instance: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct MemberState {
+pub struct Member {
     #[prost(string, tag = "1")]
     pub instance: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "2")]
+    #[prost(fixed64, tag = "2")]
     pub epoch: u64,
-    #[prost(uint64, tag = "3")]
-    pub beat: u64,
-    #[prost(string, tag = "4")]
+    #[prost(string, tag = "3")]
     pub data_centre: ::prost::alloc::string::String,
-    #[prost(string, tag = "5")]
+    #[prost(string, tag = "4")]
     pub peer_address: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "6")]
-    pub table_version: u64,
-    #[prost(bool, tag = "7")]
+    #[prost(bool, tag = "5")]
     pub leaving: bool,
+    /// True if the member was found dead in this epoch.
+    #[prost(bool, tag = "6")]
+    pub dead: bool,
 }
+/// Heartbeat to the instances that monitor the sender.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Beat {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(fixed64, tag = "2")]
+    pub epoch: u64,
+    #[prost(fixed64, tag = "3")]
+    pub directory_hash: u64,
+    #[prost(uint64, tag = "4")]
+    pub table_version: u64,
+}
+/// All members that the sender knows; sent when directory hashes differ, and to who joins.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct Heartbeat {
+pub struct Directory {
     #[prost(message, repeated, tag = "1")]
-    pub members: ::prost::alloc::vec::Vec<MemberState>,
-    /// Backend servers known to be leaving, with the age of the notice.
+    pub members: ::prost::alloc::vec::Vec<Member>,
     #[prost(message, repeated, tag = "2")]
-    pub drains: ::prost::alloc::vec::Vec<Drain>,
+    pub centres: ::prost::alloc::vec::Vec<CentreSummary>,
+}
+/// One member's news: joined, leaving, dead.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MemberNote {
+    #[prost(message, optional, tag = "1")]
+    pub member: ::core::option::Option<Member>,
 }
+/// Asks another monitor, or the member itself, whether a member is alive.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Drain {
+pub struct VouchRequest {
     #[prost(string, tag = "1")]
-    pub server: ::prost::alloc::string::String,
+    pub instance: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub asker_address: ::prost::alloc::string::String,
+}
+/// The member was heard of within the monitor's time.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Vouch {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(fixed64, tag = "2")]
+    pub epoch: u64,
+}
+/// What a data centre tells the others.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CentreSummary {
+    #[prost(string, tag = "1")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// Grows with every summary of the data centre's relays.
     #[prost(uint64, tag = "2")]
-    pub notice_age_ms: u64,
+    pub sequence: u64,
+    #[prost(uint32, tag = "3")]
+    pub live_count: u32,
+    #[prost(uint64, tag = "4")]
+    pub table_version: u64,
+    #[prost(message, repeated, tag = "5")]
+    pub contacts: ::prost::alloc::vec::Vec<Member>,
+    /// Instance that made the summary.
+    #[prost(string, tag = "6")]
+    pub from: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TableNotice {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(string, tag = "2")]
+    pub peer_address: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TableRequest {
@@ -338,6 +409,9 @@
     pub partition: u32,
     #[prost(message, optional, tag = "2")]
     pub record: ::core::option::Option<LogRecord>,
+    /// Instances that passed the request on.
+    #[prost(uint32, tag = "3")]
+    pub hops: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClaimReply {
@@ -350,24 +424,24 @@
     #[prost(string, tag = "4")]
     pub holder: ::prost::alloc::string::String,
 }
-/// An accepted model request with what its caller has been sent so far.
+/// An accepted model call with what its caller has been sent so far.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Handover {
     #[prost(string, tag = "1")]
     pub account: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
-    pub key: ::prost::alloc::string::String,
+    pub session: ::prost::alloc::string::String,
     #[prost(string, tag = "3")]
     pub request_id: ::prost::alloc::string::String,
     #[prost(bytes = "vec", tag = "4")]
     pub body: ::prost::alloc::vec::Vec<u8>,
     #[prost(string, tag = "5")]
     pub text: ::prost::alloc::string::String,
-    #[prost(uint32, tag = "6")]
-    pub tokens: u32,
-    #[prost(bool, tag = "7")]
-    pub done: bool,
-    #[prost(string, tag = "8")]
+    /// Length of each token's text in bytes.
+    #[prost(uint32, repeated, tag = "6")]
+    pub token_bytes: ::prost::alloc::vec::Vec<u32>,
+    /// Empty while the answer is not whole.
+    #[prost(string, tag = "7")]
     pub finish_reason: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -380,13 +454,49 @@
     #[prost(string, tag = "1")]
     pub account: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
-    pub key: ::prost::alloc::string::String,
+    pub session: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub hops: u32,
 }
+/// The session, moved to the asker; empty if it is not here.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SessionReply {
     #[prost(message, optional, tag = "1")]
     pub session: ::core::option::Option<Handover>,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServerNote {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// Source of the word: 1 instance list, 2 operator, 3 the server.
+    #[prost(uint32, tag = "3")]
+    pub source: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SuspectNote {
+    #[prost(fixed64, tag = "1")]
+    pub content_hash: u64,
+    #[prost(string, tag = "2")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub server: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServerLoad {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    #[prost(uint32, tag = "3")]
+    pub queued: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LoadNote {
+    #[prost(message, repeated, tag = "1")]
+    pub loads: ::prost::alloc::vec::Vec<ServerLoad>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum ClaimVerdict {
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -159,12 +159,22 @@
         }
     }
 
+    /// Requests taken so far.
+    pub fn requests(&self) -> u64 {
+        self.lock().requests
+    }
+
+    /// Requests that run now.
+    pub fn running(&self) -> usize {
+        self.lock().running
+    }
+
     /// Announces the end of this engine.
     pub fn reclaim(&self, notice: Duration) {
         self.lock().leaving_until = Some(Instant::now() + notice);
         let stop = self.stop.clone();
-        actix_web::rt::spawn(async move {
-            tokio::time::sleep(notice).await;
+        std::thread::spawn(move || {
+            std::thread::sleep(notice);
             stop();
         });
     }
@@ -342,6 +352,7 @@
     if prompt.contains(CRASH_TEXT) {
         tokio::time::sleep(Duration::from_millis(50)).await;
         (engine.stop)();
+        std::future::pending::<()>().await;
     }
     let fail_percent = engine.lock().faults.fail_percent;
     if rand::random_range(0..100) < fail_percent {
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -112,6 +112,7 @@
     appends: u64,
     faults: PlatformFaults,
     instances: BTreeMap<String, Listed>,
+    notices: BTreeMap<String, Instant>,
     streams: BTreeMap<String, Stream>,
     weight_bucket: Bucket,
 }
@@ -136,6 +137,7 @@
                 appends: 0,
                 faults: PlatformFaults::default(),
                 instances: BTreeMap::new(),
+                notices: BTreeMap::new(),
                 streams: BTreeMap::new(),
                 weight_bucket: bucket(),
             })),
@@ -152,6 +154,7 @@
             .route("/log/{stream}", web::post().to(append))
             .route("/log/{stream}", web::get().to(read))
             .route("/instances", web::get().to(list))
+            .route("/cloud/notice/{instance}", web::get().to(notice))
             .route("/cloud/start", web::post().to(start))
             .route("/weights/{model}", web::get().to(weights))
             .route("/bill", web::get().to(bill))
@@ -167,6 +170,18 @@
         self.appended.notify_waiters();
     }
 
+    /// Announces the reclaim of an instance to itself.
+    pub fn give_notice(&self, instance: &str, notice: Duration) {
+        self.lock()
+            .notices
+            .insert(instance.to_owned(), Instant::now() + notice);
+    }
+
+    /// Appends that took effect so far.
+    pub fn appends(&self) -> u64 {
+        self.lock().appends
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -296,6 +311,16 @@
     HttpResponse::Ok().json(listed)
 }
 
+async fn notice(platform: web::Data<Platform>, instance: web::Path<String>) -> HttpResponse {
+    match platform.lock().notices.get(instance.as_str()) {
+        Some(until) => {
+            let left = until.saturating_duration_since(Instant::now());
+            HttpResponse::Ok().json(serde_json::json!({ "left_ms": left.as_millis() as u64 }))
+        }
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
 async fn start(platform: web::Data<Platform>, body: web::Json<Instance>) -> HttpResponse {
     if platform.lock().faults.refuse_starts {
         return HttpResponse::ServiceUnavailable().body("no capacity");
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,255 @@
+//! Calls that may not be repeated: at most one run, and true words about it, through one and
+//! several entry instances.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use ebonyspread::wire;
+use ebonyspread_standins::platform::PlatformFaults;
+use ebonyspread_standins::service::ServiceFaults;
+use support::*;
+
+fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+fn order(bench: &Bench, entry: usize, account: &str, key: &str, body: &'static str) -> Reply {
+    let headers = [bearer(account), ("idempotency-key", key.to_owned())];
+    block_on(send("POST", &bench.url(entry, "/orders"), &headers, body))
+}
+
+fn runs_of(bench: &Bench, key: &str) -> u32 {
+    bench
+        .service
+        .runs()
+        .iter()
+        .filter(|runs| runs.key == key)
+        .map(|runs| runs.count)
+        .sum()
+}
+
+#[test]
+fn first_order_on_an_empty_stream_is_whole() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let reply = order(&bench, 0, "quayside", &new_key(), "{}");
+    assert_eq!((reply.status, reply.outcome()), (201, "whole"));
+}
+
+#[test]
+fn same_key_gives_the_recorded_answer_at_every_entry() {
+    let bench = BenchBuilder::default().engines(0).entries(3).start();
+    let key = new_key();
+    let first = order(&bench, 0, "quayside", &key, "{}");
+    for entry in [1, 2, 0] {
+        let again = order(&bench, entry, "quayside", &key, "{}");
+        assert_eq!(again.body, first.body);
+        assert_eq!(again.header("idempotent-replayed"), "true");
+    }
+    assert_eq!(runs_of(&bench, &key), 1);
+}
+
+#[test]
+fn same_key_at_once_runs_once() {
+    let bench = BenchBuilder::default()
+        .engines(0)
+        .entries(3)
+        .data_centres(3)
+        .start();
+    bench.service.set_faults(ServiceFaults {
+        delay_ms: 200,
+        ..ServiceFaults::default()
+    });
+    let key = new_key();
+    let replies: Vec<Reply> = std::thread::scope(|scope| {
+        let mut threads = Vec::new();
+        for entry in 0..3 {
+            let (bench, key) = (&bench, &key);
+            threads.push(scope.spawn(move || order(bench, entry, "quayside", key, "{}")));
+        }
+        threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap())
+            .collect()
+    });
+    let whole = replies
+        .iter()
+        .filter(|reply| reply.outcome() == "whole")
+        .count();
+    assert!(whole >= 1);
+    for reply in &replies {
+        assert!(
+            ["whole", "unknown"].contains(&reply.outcome()),
+            "{}",
+            reply.outcome()
+        );
+    }
+    assert_eq!(runs_of(&bench, &key), 1);
+}
+
+#[test]
+fn same_key_with_another_body_is_refused() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let key = new_key();
+    order(&bench, 0, "quayside", &key, "{\"cartons\":1}");
+    let other = order(&bench, 0, "quayside", &key, "{\"cartons\":2}");
+    assert_eq!(
+        (other.status, other.json()["error"]["code"].as_str()),
+        (422, Some("key_reused"))
+    );
+    assert_eq!(runs_of(&bench, &key), 1);
+}
+
+#[test]
+fn same_key_of_another_account_is_its_own() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let key = new_key();
+    let mine = order(&bench, 0, "quayside", &key, "{}").json();
+    let theirs = order(&bench, 0, "harbour", &key, "{}").json();
+    assert_eq!(mine["account"], "quayside");
+    assert_eq!(theirs["account"], "harbour");
+    assert_ne!(mine["number"], theirs["number"]);
+}
+
+#[test]
+fn key_outside_the_window_is_never_said_not_to_have_run() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let old = uuid::Uuid::new_v7(uuid::Timestamp::from_unix(
+        uuid::NoContext,
+        1_600_000_000,
+        0,
+    ));
+    let reply = order(&bench, 0, "quayside", &old.to_string(), "{}");
+    assert_eq!((reply.status, reply.outcome()), (409, "unknown"));
+    assert_eq!(runs_of(&bench, &old.to_string()), 0);
+}
+
+#[test]
+fn key_without_a_time_is_refused() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let reply = order(&bench, 0, "quayside", "order-7", "{}");
+    assert_eq!((reply.status, reply.outcome()), (400, "not-run"));
+}
+
+#[test]
+fn lost_answer_of_an_append_changes_nothing() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let key = new_key();
+    bench.platform.set_faults(PlatformFaults {
+        lose_answers: 1,
+        ..PlatformFaults::default()
+    });
+    let reply = order(&bench, 0, "quayside", &key, "{}");
+    assert_eq!(reply.outcome(), "whole");
+    assert_eq!(runs_of(&bench, &key), 1);
+}
+
+#[test]
+fn lost_answer_of_a_run_is_settled_by_looking_it_up() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let key = new_key();
+    bench.service.set_faults(ServiceFaults {
+        lose_answers: 1,
+        ..ServiceFaults::default()
+    });
+    let reply = order(&bench, 0, "quayside", &key, "{}");
+    assert_eq!(reply.outcome(), "whole");
+    assert_eq!(reply.json()["key"], key);
+    assert_eq!(runs_of(&bench, &key), 1);
+}
+
+/// A server that reads a call, counts it and hangs up without a word, as one that crashes while it
+/// runs the call.
+fn start_hanging_up() -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicU32::new(0));
+    let counted = count.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut buffer = [0; 4_096];
+            let read = stream.unwrap().read(&mut buffer).unwrap_or(0);
+            if buffer[..read].starts_with(b"POST /orders") {
+                counted.fetch_add(1, Ordering::SeqCst);
+            }
+        }
+    });
+    (address, count)
+}
+
+#[test]
+fn call_whose_server_hangs_up_is_not_sent_to_another() {
+    let mut bench = BenchBuilder::default().engines(0).start();
+    let (first, first_count) = start_hanging_up();
+    let (second, second_count) = start_hanging_up();
+    let row = bench.table.backend_server[0].clone();
+    bench.table.backend_server.clear();
+    for (name, address) in [("first", first), ("second", second)] {
+        bench.table.backend_server.push(wire::BackendServerRow {
+            name: name.to_owned(),
+            address: address.to_string(),
+            lookup_path: String::new(),
+            ..row.clone()
+        });
+    }
+    let version = publish_table(&bench.platform_url, &bench.table);
+    bench.wait_for_version(version);
+    let reply = order(&bench, 0, "quayside", &new_key(), "{}");
+    assert_eq!(reply.outcome(), "unknown");
+    let sent = first_count.load(Ordering::SeqCst) + second_count.load(Ordering::SeqCst);
+    assert_eq!(sent, 1);
+}
+
+#[test]
+fn log_outage_refuses_as_not_run_and_frees_the_key() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let key = new_key();
+    order(&bench, 0, "quayside", &new_key(), "{}");
+    bench.platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    let refused = order(&bench, 0, "quayside", &key, "{}");
+    assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
+    assert_eq!(runs_of(&bench, &key), 0);
+    bench.platform.set_faults(PlatformFaults::default());
+    wait_until("order after the outage", || {
+        order(&bench, 0, "quayside", &key, "{}").outcome() == "whole"
+    });
+    assert_eq!(runs_of(&bench, &key), 1);
+}
+
+#[test]
+fn answer_outlives_all_entries() {
+    let mut bench = BenchBuilder::default().engines(0).entries(2).start();
+    let key = new_key();
+    let first = order(&bench, 0, "quayside", &key, "{}");
+    // The answer is recorded in the background; the record is what a new instance reads.
+    wait_until("record of the answer", || bench.platform.appends() >= 3);
+    bench.entries.clear();
+    bench.add_entry(7, 0);
+    bench.wait_for_version(1);
+    let again = order(&bench, 0, "quayside", &key, "{}");
+    assert_eq!(again.body, first.body);
+    assert_eq!(runs_of(&bench, &key), 1);
+}
+
+#[test]
+fn leaving_service_refuses_without_running() {
+    let bench = BenchBuilder::default().engines(0).start();
+    bench.service.set_faults(ServiceFaults {
+        leaving: true,
+        ..ServiceFaults::default()
+    });
+    let key = new_key();
+    let reply = order(&bench, 0, "quayside", &key, "{}");
+    assert_eq!((reply.status, reply.outcome()), (503, "not-run"));
+    assert_eq!(runs_of(&bench, &key), 0);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -17,6 +17,7 @@
 use ebonyspread::classify::hash_account_key;
 use ebonyspread::entry::Entry;
 use ebonyspread::log_client::LogClient;
+use ebonyspread::logging::start_logging;
 use ebonyspread::publish::publish;
 use ebonyspread::settings::Settings;
 use ebonyspread::wire;
@@ -147,6 +148,10 @@
     }
 
     pub fn start(self) -> Bench {
+        // Shown by `cargo test -- --nocapture`.
+        if std::env::var_os("TEST_LOG").is_some() {
+            start_logging(log::LevelFilter::Debug);
+        }
         let platform = Platform::default();
         let service = Service::new("orders", self.service_checks_fencing);
         let (served_platform, served_service) = (platform.clone(), service.clone());
