Say not run only with proof

Cause: a refusal of a request that carries its caller's key said "not-run", though an earlier call with the same key may have run: after a lost answer followed by a log outage, a limit or an unknown route. Ruled out: asking the claim index first (it may not have read the claim yet, and cannot be read in an outage). Change: a keyed request is refused as unknown unless its own claim was granted and released, or the key is the instance's own. OnceCall is now a whole state machine of events and actions, so that the same steps can run under randomised schedules. Conclusion: "not run" now rests on a grant or on a key of our own.

--- a/src/accept.rs
+++ b/src/accept.rs
@@ -37,7 +37,7 @@
     let mut request_id = new_request_id();
     match accept_chat(&request, payload, &worker, &mut request_id).await {
         Ok(response) => response,
-        Err(error) => error_response(&worker.context, &request_id, &error),
+        Err(error) => refuse(&request, &worker, &request_id, error),
     }
 }
 
@@ -81,6 +81,20 @@
     }
 }
 
+fn refuse(http: &HttpRequest, worker: &Worker, request_id: &str, error: Error) -> HttpResponse {
+    let is_keyed = KEY_HEADERS
+        .iter()
+        .any(|name| http.headers().contains_key(*name));
+    let error = match is_keyed {
+        true => error.for_keyed_request(),
+        false => error,
+    };
+    error_response(&worker.context, request_id, &error)
+}
+
+/// Headers by which a request says that it may have been sent before.
+const KEY_HEADERS: [&str; 2] = ["idempotency-key", "last-event-id"];
+
 /// Lists the models in the usual shape.
 async fn models(request: HttpRequest, worker: web::Data<Worker>) -> HttpResponse {
     let request_id = new_request_id();
@@ -106,7 +120,7 @@
     let request_id = new_request_id();
     match accept_plain(&request, payload, &worker, &request_id).await {
         Ok(response) => response,
-        Err(error) => error_response(&worker.context, &request_id, &error),
+        Err(error) => refuse(&request, &worker, &request_id, error),
     }
 }
 
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -1,7 +1,7 @@
 //! The holder's side of a call that may not be repeated: from its claim to its one dispatch.
 //!
-//! Only [`OnceCall::send`] permits a dispatch and only [`OnceCall::release`] permits the outcome
-//! "not run"; a call never passes through both.
+//! Events go in, what to do next comes out. A dispatch is asked for only under a granted claim
+//! and only once; "not run" is said only where nothing was sent and nobody else can have sent it.
 
 use super::*;
 
@@ -15,6 +15,8 @@
         /// Offset of the claim.
         offset: LogOffset,
     },
+    /// Another call holds the key; its answer is looked up.
+    LookingUp,
     /// Given up before anything was sent.
     Released,
     /// Sent; whether it ran is not known.
@@ -22,23 +24,83 @@
         /// Offset of the claim.
         offset: LogOffset,
     },
-    /// Answered.
+    /// Its caller has been answered.
     Settled,
 }
 
+/// What happened to a call.
+#[derive(Debug, Clone)]
+pub enum OnceEvent {
+    /// The backend server answered; the record is what is kept of it.
+    Answered(RecordedAnswer),
+    /// A backend server's own record of the key, if it has one.
+    Found(Option<RecordedAnswer>),
+    /// It was sent and its answer did not arrive whole.
+    Lost(Error),
+    /// No byte of it was sent, or the server refused it before it ran.
+    NotSent,
+    /// Another server was placed, or none was.
+    Placed(Result),
+    /// What the log says of its claim.
+    Ordered(Verdict),
+}
+
+/// What a caller is told.
+#[derive(Debug, Clone)]
+pub enum OnceReply {
+    /// The answer that just arrived.
+    Answer,
+    /// A refusal, a loss or a wait.
+    Error(Error),
+    /// The recorded answer of an earlier run under the same key.
+    Replay(RecordedAnswer),
+}
+
+/// What to do next.
+#[derive(Debug, Clone)]
+pub enum OnceAction {
+    /// Ask backend servers for their record of the key.
+    LookUp,
+    /// Place it on another server.
+    Place,
+    /// Answer the caller; the call is over.
+    Reply(OnceReply),
+    /// Send it to the placed server.
+    Send {
+        /// The claim's offset.
+        fencing: LogOffset,
+    },
+}
+
+/// An action, and a record to append beside it.
+#[derive(Debug, Clone)]
+pub struct OnceStep {
+    /// What to do next.
+    pub action: OnceAction,
+    /// Record to append; nobody waits for it.
+    pub record: Option<ClaimRecord>,
+}
+
 /// A call that may not be repeated, at the one instance that may send it.
 #[derive(Debug)]
 pub struct OnceCall {
     claim: Claim,
+    /// True if this instance made the key, so that no earlier call can have used it.
+    is_own_key: bool,
+    lost: Option<Error>,
     stage: OnceStage,
+    window: Duration,
 }
 
 impl OnceCall {
-    /// Starts a call whose claim is to be appended.
-    pub fn new(claim: Claim) -> Self {
+    /// Starts a call whose claim is to be ordered by the log.
+    pub fn new(claim: Claim, is_own_key: bool, window: Duration) -> Self {
         Self {
             claim,
+            is_own_key,
+            lost: None,
             stage: OnceStage::Claiming,
+            window,
         }
     }
 
@@ -52,66 +114,135 @@
         self.stage
     }
 
-    /// Takes the log's grant. A grant that comes after the release changes nothing.
-    pub fn grant(&mut self, offset: LogOffset) {
-        if self.stage == OnceStage::Claiming {
-            self.stage = OnceStage::Granted { offset };
+    /// Takes an event and returns what to do next.
+    pub fn step(&mut self, event: OnceEvent) -> Result<OnceStep> {
+        match (self.stage, event) {
+            (OnceStage::Claiming, OnceEvent::Ordered(verdict)) => self.take_verdict(verdict),
+            (OnceStage::Granted { .. }, OnceEvent::Placed(Ok(()))) => self.send(),
+            (OnceStage::Granted { .. }, OnceEvent::Placed(Err(error))) => {
+                self.give_up(Error::Released {
+                    cause: Box::new(error),
+                })
+            }
+            (OnceStage::LookingUp, OnceEvent::Found(Some(answer))) => {
+                Ok(self.reply(OnceReply::Replay(answer)))
+            }
+            (OnceStage::LookingUp, OnceEvent::Found(None)) => {
+                Ok(self.reply(OnceReply::Error(Error::ClaimRunning)))
+            }
+            (OnceStage::Sent { .. }, OnceEvent::Answered(answer)) => {
+                Ok(self.settle(answer, OnceReply::Answer))
+            }
+            (OnceStage::Sent { .. }, OnceEvent::Found(found)) => Ok(self.take_found(found)),
+            (OnceStage::Sent { .. }, OnceEvent::Lost(error)) => {
+                self.lost = Some(error);
+                Ok(OnceStep::only(OnceAction::LookUp))
+            }
+            (OnceStage::Sent { offset }, OnceEvent::NotSent) => {
+                self.stage = OnceStage::Granted { offset };
+                Ok(OnceStep::only(OnceAction::Place))
+            }
+            _ => Err(Error::Invariant {
+                invariant: "a call that may not be repeated takes only the events of its stage",
+            }),
         }
     }
 
-    /// Permits the one dispatch; returns the fencing number.
-    pub fn send(&mut self) -> Result<LogOffset> {
-        match self.stage {
-            OnceStage::Granted { offset } => {
-                self.stage = OnceStage::Sent { offset };
-                Ok(offset)
+    fn take_verdict(&mut self, verdict: Verdict) -> Result<OnceStep> {
+        match verdict {
+            Verdict::Finished(answer) => Ok(self.reply(OnceReply::Replay(answer))),
+            Verdict::Granted { offset } => {
+                self.stage = OnceStage::Granted { offset };
+                self.send()
+            }
+            Verdict::KeyAge => Ok(self.reply(OnceReply::Error(Error::KeyAge {
+                window_s: self.window.as_secs(),
+            }))),
+            Verdict::OtherBody => Ok(self.reply(OnceReply::Error(Error::KeyReused))),
+            Verdict::Recorded | Verdict::Unavailable => self.give_up(self.unavailable()),
+            Verdict::Running { .. } => {
+                self.stage = OnceStage::LookingUp;
+                Ok(OnceStep::only(OnceAction::LookUp))
             }
-            _ => Err(Error::Invariant {
-                invariant: "a call that may not be repeated is sent once, under a granted claim",
-            }),
         }
     }
 
-    /// Takes back a dispatch whose connection was refused: no byte of it was sent.
-    pub fn was_not_sent(&mut self) {
-        if let OnceStage::Sent { offset } = self.stage {
-            self.stage = OnceStage::Granted { offset };
+    /// Permits the one dispatch.
+    fn send(&mut self) -> Result<OnceStep> {
+        let OnceStage::Granted { offset } = self.stage else {
+            return Err(Error::Invariant {
+                invariant: "a call that may not be repeated is sent only under a granted claim",
+            });
+        };
+        self.stage = OnceStage::Sent { offset };
+        Ok(OnceStep::only(OnceAction::Send { fencing: offset }))
+    }
+
+    /// Gives the call up before anything was sent: it did not run and never will. The release
+    /// frees the key, whether its claim is in the log or still on the way.
+    fn give_up(&mut self, error: Error) -> Result<OnceStep> {
+        if !matches!(self.stage, OnceStage::Claiming | OnceStage::Granted { .. }) {
+            return Err(Error::Invariant {
+                invariant: "only a call that was never sent is given up",
+            });
         }
+        self.stage = OnceStage::Released;
+        Ok(OnceStep {
+            action: OnceAction::Reply(OnceReply::Error(error)),
+            record: Some(ClaimRecord::Released {
+                key: self.claim.key,
+                nonce: self.claim.nonce,
+            }),
+        })
     }
 
-    /// Gives the call up before anything was sent: it did not run and never will. Returns the
-    /// record that frees the key.
-    pub fn release(&mut self) -> Result<ClaimRecord> {
-        match self.stage {
-            OnceStage::Claiming | OnceStage::Granted { .. } => {
-                self.stage = OnceStage::Released;
-                Ok(ClaimRecord::Released {
-                    key: self.claim.key,
-                    nonce: self.claim.nonce,
-                })
-            }
-            OnceStage::Released | OnceStage::Sent { .. } | OnceStage::Settled => {
-                Err(Error::Invariant {
-                    invariant: "not run is said only of a call that was never sent",
-                })
-            }
+    /// An earlier call with the caller's key may have run, so that only a key of our own proves
+    /// that nothing did.
+    fn unavailable(&self) -> Error {
+        let error = Error::ClaimUnavailable {
+            reason: "the log service did not order the claim in time".to_owned(),
+        };
+        let cause = Box::new(error);
+        match self.is_own_key {
+            true => Error::Released { cause },
+            false => Error::NotProven { cause },
         }
     }
 
-    /// Takes the backend server's answer. Returns the record that keeps it.
-    pub fn settle(&mut self, answer: RecordedAnswer) -> Result<ClaimRecord> {
-        match self.stage {
-            OnceStage::Sent { .. } => {
-                self.stage = OnceStage::Settled;
-                Ok(ClaimRecord::Finished {
-                    answer,
-                    key: self.claim.key,
-                    nonce: self.claim.nonce,
-                })
+    fn take_found(&mut self, found: Option<RecordedAnswer>) -> OnceStep {
+        match found {
+            Some(answer) => self.settle(answer.clone(), OnceReply::Replay(answer)),
+            // A server that knows nothing of the call proves nothing: it may still arrive.
+            None => {
+                let error = self.lost.take().unwrap_or(Error::ClaimRunning);
+                self.reply(OnceReply::Error(error))
             }
-            _ => Err(Error::Invariant {
-                invariant: "only a call that was sent has an answer",
-            }),
+        }
+    }
+
+    fn settle(&mut self, answer: RecordedAnswer, reply: OnceReply) -> OnceStep {
+        let record = ClaimRecord::Finished {
+            answer,
+            key: self.claim.key,
+            nonce: self.claim.nonce,
+        };
+        OnceStep {
+            record: Some(record),
+            ..self.reply(reply)
+        }
+    }
+
+    fn reply(&mut self, reply: OnceReply) -> OnceStep {
+        self.stage = OnceStage::Settled;
+        OnceStep::only(OnceAction::Reply(reply))
+    }
+}
+
+impl OnceStep {
+    fn only(action: OnceAction) -> Self {
+        Self {
+            action,
+            record: None,
         }
     }
 }
--- a/src/context.rs
+++ b/src/context.rs
@@ -128,6 +128,15 @@
         self.peers.send(FetchSession(key)).await.ok()?
     }
 
+    /// Reports a violated invariant before the error goes to the request.
+    pub fn checked<T>(&self, result: Result<T>) -> Result<T> {
+        if let Err(Error::Invariant { invariant }) = &result {
+            error!("invariant violated: {invariant}");
+            self.metrics.invariant(invariant);
+        }
+        result
+    }
+
     /// Orders a claim record by the log.
     pub async fn order(&self, record: ClaimRecord) -> Verdict {
         let partition = partition_of(record.key(), self.settings.claim_partitions);
--- a/src/error.rs
+++ b/src/error.rs
@@ -55,7 +55,7 @@
     ))]
     ClaimRunning,
     /// The log service could not order the claim; the call was not dispatched.
-    #[snafu(display("claims are unavailable ({reason}); the call was not run, send it again"))]
+    #[snafu(display("claims are unavailable ({reason}); send the call again"))]
     ClaimUnavailable {
         /// Cause.
         reason: String,
@@ -172,6 +172,22 @@
         /// What is wrong and the remedy.
         reason: String,
     },
+    /// A call with the caller's key was refused before it could be known whether an earlier call
+    /// with the same key ran.
+    #[snafu(display(
+        "{cause}; whether an earlier call with this key ran is not known here, ask again with the \
+         same key"
+    ))]
+    NotProven {
+        /// Why this call was refused.
+        cause: Box<Error>,
+    },
+    /// A call was given up under a granted claim, or under a key of our own, before it was sent.
+    #[snafu(display("{cause}; the call was not run"))]
+    Released {
+        /// Why it was given up.
+        cause: Box<Error>,
+    },
     /// Another edit was accepted first.
     #[snafu(display(
         "conflict: the table is at version {current}, the edit was made against {base}; rows that \
@@ -253,7 +269,8 @@
             | Self::DispatchLost { .. }
             | Self::DispatchTimeout { .. }
             | Self::Invariant { .. }
-            | Self::KeyAge { .. } => Outcome::Unknown,
+            | Self::KeyAge { .. }
+            | Self::NotProven { .. } => Outcome::Unknown,
             _ => Outcome::NotRun,
         }
     }
@@ -274,6 +291,7 @@
             Self::KeyFormat => (400, "key_format"),
             Self::KeyReused => (422, "key_reused"),
             Self::NoServer { .. } => (503, "no_backend_server"),
+            Self::NotProven { cause } | Self::Released { cause } => cause.status(),
             Self::Overloaded { .. } => (503, "overloaded"),
             Self::Quarantined { .. } => (422, "content_quarantined"),
             Self::ResumeMismatch => (409, "resume_mismatch"),
@@ -307,9 +325,21 @@
             | Self::ClaimRunning
             | Self::ClaimUnavailable { .. }
             | Self::TableMissing => Some(DEFAULT_RETRY_AFTER),
+            Self::NotProven { cause } | Self::Released { cause } => cause.retry_after(),
             _ => None,
         }
     }
+
+    /// The error for a request that carries its caller's key. Whatever refused this call, an
+    /// earlier one with the same key may have run, unless a granted claim says otherwise.
+    pub fn for_keyed_request(self) -> Self {
+        match (&self, self.outcome()) {
+            (Self::Released { .. }, _) | (_, Outcome::Unknown | Outcome::Whole) => self,
+            (_, Outcome::NotRun) => Self::NotProven {
+                cause: Box::new(self),
+            },
+        }
+    }
 }
 
 /// Retry time told where nothing better is known.
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -4,6 +4,8 @@
 
 use actix_web::HttpResponse;
 use actix_web::http::Method;
+use actix_web::http::header::HeaderName;
+use actix_web::http::header::HeaderValue;
 use rand::Rng;
 
 /// Longest body that is recorded with an answer.
@@ -169,150 +171,161 @@
     };
     let ask = request.ask();
     let placement = context.admit(ask.clone(), false).await?;
-    let mut call = OnceCall::new(claim);
-    let verdict = context
-        .order(ClaimRecord::Claim(call.claim().clone()))
-        .await;
-    info!(
-        "claim request={} account={} key={key} verdict={}",
-        request.request_id,
-        request.account,
-        verdict_name(&verdict)
-    );
-    let served = match verdict {
-        Verdict::Granted { offset } => {
-            call.grant(offset);
-            send_once(worker, request, &key, call, placement).await
-        }
-        other => {
-            end_attempt(context, &ask, &placement);
-            answer_unclaimed(worker, request, &key, call, other).await
-        }
+    let task = OnceTask {
+        ask,
+        call: OnceCall::new(claim, request.key.is_none(), context.settings.claim_window),
+        failed: None,
+        headers: request.headers_to_send(Some(&key)),
+        key: key.clone(),
+        placement,
+        request,
+        response: None,
+        tried: Vec::new(),
+        worker,
     };
-    context.router.do_send(FinishRequest { ask, tokens: 0 });
-    let mut response = served?;
-    if let Ok(value) = actix_web::http::header::HeaderValue::from_str(&key) {
-        let name = actix_web::http::header::HeaderName::from_static("idempotency-key");
+    let mut response = task.run().await?;
+    if let Ok(value) = HeaderValue::from_str(&key) {
+        let name = HeaderName::from_static("idempotency-key");
         response.headers_mut().insert(name, value);
     }
     Ok(response)
 }
 
-/// Answers a call whose claim was not granted.
-async fn answer_unclaimed(
-    worker: &Worker,
-    request: &PlainRequest,
-    key: &str,
+/// Carries out what a [`OnceCall`] asks for.
+struct OnceTask<'a> {
+    ask: Ask,
     call: OnceCall,
-    verdict: Verdict,
-) -> Result<HttpResponse> {
-    let context = &worker.context;
-    match verdict {
-        Verdict::Finished(answer) => Ok(recorded(context, request, &answer)),
-        Verdict::KeyAge => Err(Error::KeyAge {
-            window_s: context.settings.claim_window.as_secs(),
-        }),
-        Verdict::OtherBody => Err(Error::KeyReused),
-        Verdict::Running { .. } => match look_up(worker, request, key).await {
-            Some(answer) => Ok(recorded(context, request, &answer)),
-            None => Err(Error::ClaimRunning),
-        },
-        Verdict::Granted { .. } | Verdict::Recorded | Verdict::Unavailable => {
-            release(context, call)?;
-            Err(Error::ClaimUnavailable {
-                reason: "the log service did not order the claim in time".to_owned(),
-            })
+    /// The last attempt's failure, until the attempt is ended.
+    failed: Option<AttemptError>,
+    headers: Vec<(String, Vec<u8>)>,
+    key: SmolStr,
+    placement: Placement,
+    request: &'a PlainRequest,
+    /// The answer to pass on.
+    response: Option<HttpResponse>,
+    tried: Vec<ServerName>,
+    worker: &'a Worker,
+}
+
+impl OnceTask<'_> {
+    async fn run(mut self) -> Result<HttpResponse> {
+        let context = self.worker.context.clone();
+        let result = self.steps(&context).await;
+        // An attempt that a retry ended is not ended again.
+        if self.failed.is_none() {
+            end_attempt(&context, &self.ask, &self.placement);
         }
+        context.router.do_send(FinishRequest {
+            ask: self.ask,
+            tokens: 0,
+        });
+        result
     }
-}
 
-/// Sends a claimed call. A server that refuses the connection, or refuses the call because it is
-/// leaving, did not run it, and the same claim covers the next server.
-async fn send_once(
-    worker: &Worker,
-    request: &PlainRequest,
-    key: &str,
-    mut call: OnceCall,
-    placement: Placement,
-) -> Result<HttpResponse> {
-    let context = &worker.context;
-    let ask = request.ask();
-    let headers = request.headers_to_send(Some(key));
-    let mut placement = placement;
-    let mut tried = Vec::new();
-    loop {
-        let offset = call.send()?;
-        let to_send = request.call(&headers, Some(offset));
-        let sent = worker
-            .dispatcher
-            .send_plain(&placement.server, to_send, true)
+    async fn steps(&mut self, context: &Arc<Context>) -> Result<HttpResponse> {
+        let verdict = context
+            .order(ClaimRecord::Claim(self.call.claim().clone()))
             .await;
+        info!(
+            "claim request={} account={} key={} verdict={}",
+            self.request.request_id,
+            self.request.account,
+            self.key,
+            verdict_name(&verdict)
+        );
+        let mut event = OnceEvent::Ordered(verdict);
+        loop {
+            let step = context.checked(self.call.step(event))?;
+            if let Some(record) = step.record {
+                record_later(context, record);
+            }
+            event = match step.action {
+                OnceAction::LookUp => OnceEvent::Found(self.look_up().await),
+                OnceAction::Place => OnceEvent::Placed(self.place().await),
+                OnceAction::Reply(reply) => return self.reply(context, reply),
+                OnceAction::Send { fencing } => self.send(fencing).await,
+            };
+        }
+    }
+
+    async fn send(&mut self, fencing: LogOffset) -> OnceEvent {
+        let call = self.request.call(&self.headers, Some(fencing));
+        let server = self.placement.server.clone();
+        let sent = self.worker.dispatcher.send_plain(&server, call, true).await;
         let failed = match sent {
-            Ok(answer) => match finish_once(context, request, &mut call, answer).await {
-                Ok(response) => {
-                    end_attempt(context, &ask, &placement);
-                    return Ok(response);
-                }
-                Err(OnceFailure::Error(error)) => {
-                    end_attempt(context, &ask, &placement);
-                    return Err(error);
-                }
-                Err(OnceFailure::Lost(failed)) => failed,
+            Ok(answer) => match self.take_answer(answer).await {
+                Ok(event) => return event,
+                Err(failed) => failed,
             },
             Err(failed) => failed,
         };
-        log_failed(request, &placement, &failed);
-        tried.push(placement.server.name.clone());
+        log_failed(self.request, &self.placement, &failed);
         match failed.failure {
-            Failure::Connect | Failure::Leaving => call.was_not_sent(),
-            Failure::Broken | Failure::Status => {
-                end_attempt(context, &ask, &placement);
-                return settle_by_lookup(worker, request, key, call, &placement, failed).await;
+            Failure::Connect | Failure::Leaving => {
+                self.failed = Some(failed);
+                OnceEvent::NotSent
             }
+            Failure::Broken | Failure::Status => OnceEvent::Lost(lost(&self.placement, failed)),
         }
+    }
+
+    /// Reads the answer whole and keeps it to be passed on.
+    async fn take_answer(&mut self, answer: Answer) -> Result<OnceEvent, AttemptError> {
+        let (status, headers) = (answer.status, answer.headers.clone());
+        let body = read_whole(answer).await?;
+        let content_type = headers.get("content-type");
+        let content_type = content_type
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default();
+        let record = recorded_answer(status, content_type, &body);
+        let mut builder = response(status, &self.request.request_id, Outcome::Whole);
+        pass_headers(&mut builder, &headers);
+        self.response = Some(builder.body(body));
+        Ok(OnceEvent::Answered(record))
+    }
+
+    /// Places the call on another server after one that did not run it.
+    async fn place(&mut self) -> Result {
+        let failure = self
+            .failed
+            .as_ref()
+            .map_or(Failure::Connect, |failed| failed.failure);
+        self.tried.push(self.placement.server.name.clone());
         let retry = RetryAsk {
-            ask: ask.clone(),
-            failed: placement.clone(),
-            failure: failed.failure,
-            tried: tried.clone(),
+            ask: self.ask.clone(),
+            failed: self.placement.clone(),
+            failure,
+            tried: self.tried.clone(),
         };
-        match context.retry(retry).await {
-            Ok(next) => placement = next,
-            Err(error) => {
-                release(context, call)?;
-                return Err(error);
-            }
-        }
+        self.placement = self.worker.context.retry(retry).await?;
+        self.failed = None;
+        Ok(())
     }
-}
 
-/// Reads the answer whole, records it and passes it on.
-async fn finish_once(
-    context: &Arc<Context>,
-    request: &PlainRequest,
-    call: &mut OnceCall,
-    answer: Answer,
-) -> Result<HttpResponse, OnceFailure> {
-    let (status, headers) = (answer.status, answer.headers.clone());
-    let body = read_whole(answer).await.map_err(OnceFailure::Lost)?;
-    let content_type = headers.get("content-type");
-    let content_type = content_type
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default();
-    let settled = call.settle(recorded_answer(status, content_type, &body));
-    record_later(context, settled.map_err(OnceFailure::Error)?);
-    log_whole(context, &request.request_id, &format!("status={status}"));
-    let mut builder = response(status, &request.request_id, Outcome::Whole);
-    pass_headers(&mut builder, &headers);
-    Ok(builder.body(body))
-}
+    /// Asks the servers of the route for their record of the key: the one that had the call, or
+    /// all of them if another instance sent it.
+    async fn look_up(&self) -> Option<RecordedAnswer> {
+        let account = &self.request.account;
+        if matches!(self.call.stage(), OnceStage::Sent { .. }) {
+            return look_up_at(self.worker, &self.placement.server, account, &self.key).await;
+        }
+        look_up_everywhere(self.worker, self.request, &self.key).await
+    }
 
-/// Why a call that was sent has no answer to pass on.
-enum OnceFailure {
-    /// An error for the caller.
-    Error(Error),
-    /// The answer did not arrive whole.
-    Lost(AttemptError),
+    fn reply(&mut self, context: &Context, reply: OnceReply) -> Result<HttpResponse> {
+        match reply {
+            OnceReply::Answer => {
+                let response = self.response.take().ok_or(Error::Invariant {
+                    invariant: "an answer is there when it is passed on",
+                })?;
+                let detail = format!("status={}", response.status().as_u16());
+                log_whole(context, &self.request.request_id, &detail);
+                Ok(response)
+            }
+            OnceReply::Error(error) => Err(error),
+            OnceReply::Replay(answer) => Ok(recorded(context, self.request, &answer)),
+        }
+    }
 }
 
 async fn read_whole(mut answer: Answer) -> Result<Bytes, AttemptError> {
@@ -333,28 +346,12 @@
     Ok(body.freeze())
 }
 
-/// Asks the server whether a call whose answer was lost ran. Its "no" proves nothing, as the call
-/// may still be on its way; its record of the run is the answer.
-async fn settle_by_lookup(
+/// Asks every server of the route for its record of a key.
+async fn look_up_everywhere(
     worker: &Worker,
     request: &PlainRequest,
     key: &str,
-    mut call: OnceCall,
-    placement: &Placement,
-    failed: AttemptError,
-) -> Result<HttpResponse> {
-    let context = &worker.context;
-    match look_up_at(worker, &placement.server, &request.account, key).await {
-        Some(answer) => {
-            record_later(context, call.settle(answer.clone())?);
-            Ok(recorded(context, request, &answer))
-        }
-        None => Err(lost(placement, failed)),
-    }
-}
-
-/// Asks every server of the route for its record of a key.
-async fn look_up(worker: &Worker, request: &PlainRequest, key: &str) -> Option<RecordedAnswer> {
+) -> Option<RecordedAnswer> {
     let in_force = worker.context.table.load_full();
     let Subject::Route(prefix) = &request.subject else {
         return None;
@@ -421,12 +418,6 @@
     builder.body(answer.body.clone())
 }
 
-fn release(context: &Arc<Context>, mut call: OnceCall) -> Result {
-    let record = call.release()?;
-    record_later(context, record);
-    Ok(())
-}
-
 /// Appends an answer or a release without holding up the caller.
 fn record_later(context: &Arc<Context>, record: ClaimRecord) {
     let context = context.clone();
