--- a/src/budget.rs
+++ b/src/budget.rs
@@ -35,6 +35,9 @@
     pub fn withdraw(&mut self, account: &AccountName, server: &ServerName) -> bool {
         let of_account = self.accounts.entry(account.clone()).or_default();
         let of_server = self.servers.entry(server.clone()).or_default();
+        if is_off(Safeguard::RetryBudget) {
+            return true;
+        }
         if self.instance < REQUESTS_PER_RETRY
             || *of_account - REQUESTS_PER_RETRY < LOAN
             || *of_server - REQUESTS_PER_RETRY < LOAN
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -2,9 +2,24 @@
 //!
 //! Events go in, what to do next comes out. A dispatch is asked for only under a granted claim
 //! and only once; "not run" is said only where nothing was sent and nobody else can have sent it.
+//!
+//! The caller may have sent the same key before, to an instance that is slow or frozen. So a
+//! grant that comes later than [`GRANT_TIMEOUT`] after the call was accepted is not used, and a
+//! call that is given up keeps its claim for as long before it is released: whatever claims the
+//! key after the release either was accepted after this call or is too late to be sent. Only
+//! lengths of time are compared between instances, never their clocks.
 
 use super::*;
 
+/// Time from acceptance within which a claim has to be granted.
+pub const GRANT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Margin for clocks that run at different rates.
+const GRANT_MARGIN: Duration = Duration::from_millis(100);
+
+/// Pause before another server is looked for.
+const PLACE_PAUSE: Duration = Duration::from_millis(250);
+
 /// Stage of a call that may not be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OnceStage {
@@ -17,8 +32,8 @@
     },
     /// Another call holds the key; its answer is looked up.
     LookingUp,
-    /// Given up before anything was sent.
-    Released,
+    /// Given up before anything was sent; the release is on the way to the log.
+    Releasing,
     /// Sent; whether it ran is not known.
     Sent {
         /// Offset of the claim.
@@ -41,7 +56,7 @@
     NotSent,
     /// Another server was placed, or none was.
     Placed(Result),
-    /// What the log says of its claim.
+    /// What the log says of its claim or of its release.
     Ordered(Verdict),
 }
 
@@ -61,8 +76,13 @@
 pub enum OnceAction {
     /// Ask backend servers for their record of the key.
     LookUp,
-    /// Place it on another server.
-    Place,
+    /// Place it on another server after a pause.
+    Place {
+        /// Length of the pause.
+        pause: Duration,
+    },
+    /// Order the record that goes with this action and wait for the log's word.
+    Release,
     /// Answer the caller; the call is over.
     Reply(OnceReply),
     /// Send it to the placed server.
@@ -77,14 +97,17 @@
 pub struct OnceStep {
     /// What to do next.
     pub action: OnceAction,
-    /// Record to append; nobody waits for it.
+    /// Record to append; only a release is waited for.
     pub record: Option<ClaimRecord>,
 }
 
 /// A call that may not be repeated, at the one instance that may send it.
 #[derive(Debug)]
 pub struct OnceCall {
+    accepted_at: Duration,
     claim: Claim,
+    /// Why it was given up.
+    given_up: Option<Error>,
     /// True if this instance made the key, so that no earlier call can have used it.
     is_own_key: bool,
     lost: Option<Error>,
@@ -93,10 +116,12 @@
 }
 
 impl OnceCall {
-    /// Starts a call whose claim is to be ordered by the log.
-    pub fn new(claim: Claim, is_own_key: bool, window: Duration) -> Self {
+    /// Starts a call that was accepted now, and whose claim is to be ordered by the log.
+    pub fn new(now: Duration, claim: Claim, is_own_key: bool, window: Duration) -> Self {
         Self {
+            accepted_at: now,
             claim,
+            given_up: None,
             is_own_key,
             lost: None,
             stage: OnceStage::Claiming,
@@ -115,14 +140,14 @@
     }
 
     /// Takes an event and returns what to do next.
-    pub fn step(&mut self, event: OnceEvent) -> Result<OnceStep> {
+    ///
+    /// `now` has to count the time for which the process or its machine was stopped.
+    pub fn step(&mut self, now: Duration, event: OnceEvent) -> Result<OnceStep> {
         match (self.stage, event) {
-            (OnceStage::Claiming, OnceEvent::Ordered(verdict)) => self.take_verdict(verdict),
+            (OnceStage::Claiming, OnceEvent::Ordered(verdict)) => self.take_verdict(now, verdict),
             (OnceStage::Granted { .. }, OnceEvent::Placed(Ok(()))) => self.send(),
             (OnceStage::Granted { .. }, OnceEvent::Placed(Err(error))) => {
-                self.give_up(Error::Released {
-                    cause: Box::new(error),
-                })
+                self.place_again(now, error)
             }
             (OnceStage::LookingUp, OnceEvent::Found(Some(answer))) => {
                 Ok(self.reply(OnceReply::Replay(answer)))
@@ -134,13 +159,26 @@
                 Ok(self.settle(answer, OnceReply::Answer))
             }
             (OnceStage::Sent { .. }, OnceEvent::Found(found)) => Ok(self.take_found(found)),
+            (OnceStage::Sent { offset }, OnceEvent::Lost(_))
+                if is_off(Safeguard::SentIsUnknown) =>
+            {
+                self.stage = OnceStage::Granted { offset };
+                Ok(OnceStep::only(OnceAction::Place {
+                    pause: Duration::ZERO,
+                }))
+            }
             (OnceStage::Sent { .. }, OnceEvent::Lost(error)) => {
                 self.lost = Some(error);
                 Ok(OnceStep::only(OnceAction::LookUp))
             }
             (OnceStage::Sent { offset }, OnceEvent::NotSent) => {
                 self.stage = OnceStage::Granted { offset };
-                Ok(OnceStep::only(OnceAction::Place))
+                Ok(OnceStep::only(OnceAction::Place {
+                    pause: Duration::ZERO,
+                }))
+            }
+            (OnceStage::Releasing, OnceEvent::Ordered(verdict)) => {
+                Ok(self.finish_release(&verdict))
             }
             _ => Err(Error::Invariant {
                 invariant: "a call that may not be repeated takes only the events of its stage",
@@ -148,9 +186,10 @@
         }
     }
 
-    fn take_verdict(&mut self, verdict: Verdict) -> Result<OnceStep> {
+    fn take_verdict(&mut self, now: Duration, verdict: Verdict) -> Result<OnceStep> {
         match verdict {
             Verdict::Finished(answer) => Ok(self.reply(OnceReply::Replay(answer))),
+            Verdict::Granted { .. } if self.is_too_late(now) => self.abandon_claim(),
             Verdict::Granted { offset } => {
                 self.stage = OnceStage::Granted { offset };
                 self.send()
@@ -158,8 +197,11 @@
             Verdict::KeyAge => Ok(self.reply(OnceReply::Error(Error::KeyAge {
                 window_s: self.window.as_secs(),
             }))),
-            Verdict::OtherBody => Ok(self.reply(OnceReply::Error(Error::KeyReused))),
-            Verdict::Recorded | Verdict::Unavailable => self.give_up(self.unavailable()),
+            // The call that has the key may have run.
+            Verdict::OtherBody => Ok(self.reply(OnceReply::Error(Error::NotProven {
+                cause: Box::new(Error::KeyReused),
+            }))),
+            Verdict::Recorded | Verdict::Unavailable => self.abandon_claim(),
             Verdict::Running { .. } => {
                 self.stage = OnceStage::LookingUp;
                 Ok(OnceStep::only(OnceAction::LookUp))
@@ -178,17 +220,49 @@
         Ok(OnceStep::only(OnceAction::Send { fencing: offset }))
     }
 
-    /// Gives the call up before anything was sent: it did not run and never will. The release
-    /// frees the key, whether its claim is in the log or still on the way.
-    fn give_up(&mut self, error: Error) -> Result<OnceStep> {
+    fn is_too_late(&self, now: Duration) -> bool {
+        let elapsed = now.saturating_sub(self.accepted_at);
+        elapsed > GRANT_TIMEOUT && !self.is_own_key && !is_off(Safeguard::LateGrant)
+    }
+
+    /// Looks for a server until the call may be released, then releases it.
+    fn place_again(&mut self, now: Duration, error: Error) -> Result<OnceStep> {
+        let release_at = self.accepted_at + GRANT_TIMEOUT + GRANT_MARGIN;
+        if now < release_at && !self.is_own_key && !is_off(Safeguard::LateGrant) {
+            let pause = PLACE_PAUSE.min(release_at - now);
+            return Ok(OnceStep::only(OnceAction::Place { pause }));
+        }
+        self.given_up = Some(error);
+        self.release(OnceAction::Release)
+    }
+
+    /// Gives up a claim that was not granted in time. It may be in the log or still on the way
+    /// there; the release frees the key in either case.
+    fn abandon_claim(&mut self) -> Result<OnceStep> {
+        let cause = Box::new(Error::ClaimUnavailable {
+            reason: "the log service did not order the claim in time".to_owned(),
+        });
+        // An earlier call with the caller's key may have run; with a key of our own none can.
+        let proves_it = self.is_own_key || is_off(Safeguard::NotRunNeedsProof);
+        let error = match proves_it {
+            true => Error::Released { cause },
+            false => Error::NotProven { cause },
+        };
+        self.release(OnceAction::Reply(OnceReply::Error(error)))
+    }
+
+    fn release(&mut self, action: OnceAction) -> Result<OnceStep> {
         if !matches!(self.stage, OnceStage::Claiming | OnceStage::Granted { .. }) {
             return Err(Error::Invariant {
                 invariant: "only a call that was never sent is given up",
             });
         }
-        self.stage = OnceStage::Released;
+        self.stage = match action {
+            OnceAction::Release => OnceStage::Releasing,
+            _ => OnceStage::Settled,
+        };
         Ok(OnceStep {
-            action: OnceAction::Reply(OnceReply::Error(error)),
+            action,
             record: Some(ClaimRecord::Released {
                 key: self.claim.key,
                 nonce: self.claim.nonce,
@@ -196,17 +270,14 @@
         })
     }
 
-    /// An earlier call with the caller's key may have run, so that only a key of our own proves
-    /// that nothing did.
-    fn unavailable(&self) -> Error {
-        let error = Error::ClaimUnavailable {
-            reason: "the log service did not order the claim in time".to_owned(),
-        };
-        let cause = Box::new(error);
-        match self.is_own_key {
+    fn finish_release(&mut self, verdict: &Verdict) -> OnceStep {
+        let cause = Box::new(self.given_up.take().unwrap_or(Error::TableMissing));
+        let is_released = *verdict == Verdict::Recorded || self.is_own_key;
+        let error = match is_released {
             true => Error::Released { cause },
             false => Error::NotProven { cause },
-        }
+        };
+        self.reply(OnceReply::Error(error))
     }
 
     fn take_found(&mut self, found: Option<RecordedAnswer>) -> OnceStep {
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,16 @@
+//! The clock for whatever must not outlive a pause of the process or its machine.
+
+use super::*;
+
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
+/// Time since the machine was started. Unlike the monotonic clock it counts the time for which
+/// the machine was suspended; both count the time for which the process was stopped.
+pub fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(
+        time.tv_sec.unsigned_abs(),
+        time.tv_nsec.unsigned_abs() as u32,
+    )
+}
--- a/src/context.rs
+++ b/src/context.rs
@@ -102,6 +102,14 @@
         sent.map_err(|_| stopped())?
     }
 
+    /// Asks the router to place an admitted request anew.
+    pub async fn place_again(&self, ask: Ask) -> Result<Placement> {
+        self.router
+            .send(PlaceAgain { ask })
+            .await
+            .map_err(|_| stopped())?
+    }
+
     /// Asks the router for the next attempt.
     pub async fn retry(&self, retry: RetryAsk) -> Result<Placement> {
         self.router.send(retry).await.map_err(|_| stopped())?
--- a/src/member_wire.rs
+++ b/src/member_wire.rs
@@ -41,6 +41,8 @@
             table_version: summary.table_version,
             contacts: summary.contacts.iter().map(wire::Member::from).collect(),
             from: summary.from.to_string(),
+            revision: summary.revision,
+            cut_off: summary.cut_off,
         }
     }
 }
@@ -51,9 +53,11 @@
     fn try_from(summary: wire::CentreSummary) -> Result<Self> {
         Ok(Self {
             contacts: members(summary.contacts)?,
+            cut_off: summary.cut_off,
             data_centre: summary.data_centre.into(),
             from: summary.from.into(),
             live_count: summary.live_count,
+            revision: summary.revision,
             sequence: summary.sequence,
             table_version: summary.table_version,
         })
@@ -68,11 +72,13 @@
                 epoch,
                 instance,
                 table_version,
+                uptime,
             } => Self::Beat(wire::Beat {
                 instance: instance.to_string(),
                 epoch: *epoch,
                 directory_hash: *directory_hash,
                 table_version: *table_version,
+                uptime_ms: uptime.as_millis() as u64,
             }),
             MemberMessage::Directory { centres, members } => Self::Directory(wire::Directory {
                 members: members.iter().map(wire::Member::from).collect(),
@@ -82,16 +88,26 @@
                 member: Some(member.into()),
             }),
             MemberMessage::Summary(summary) => Self::CentreSummary(summary.into()),
-            MemberMessage::Vouch { epoch, instance } => Self::Vouch(wire::Vouch {
+            MemberMessage::Vouch {
+                epoch,
+                instance,
+                question,
+                uptime,
+            } => Self::Vouch(wire::Vouch {
                 instance: instance.to_string(),
                 epoch: *epoch,
+                uptime_ms: uptime.as_millis() as u64,
+                question: *question,
+            }),
+            MemberMessage::VouchRequest {
+                asker,
+                instance,
+                question,
+            } => Self::VouchRequest(wire::VouchRequest {
+                instance: instance.to_string(),
+                asker_address: asker.to_string(),
+                question: *question,
             }),
-            MemberMessage::VouchRequest { asker, instance } => {
-                Self::VouchRequest(wire::VouchRequest {
-                    instance: instance.to_string(),
-                    asker_address: asker.to_string(),
-                })
-            }
         }
     }
 }
@@ -106,6 +122,7 @@
                 epoch: beat.epoch,
                 instance: beat.instance.into(),
                 table_version: beat.table_version,
+                uptime: Duration::from_millis(beat.uptime_ms),
             }),
             Body::CentreSummary(summary) => Ok(Self::Summary(summary.try_into()?)),
             Body::Directory(directory) => {
@@ -122,10 +139,13 @@
             Body::Vouch(vouch) => Ok(Self::Vouch {
                 epoch: vouch.epoch,
                 instance: vouch.instance.into(),
+                question: vouch.question,
+                uptime: Duration::from_millis(vouch.uptime_ms),
             }),
             Body::VouchRequest(request) => Ok(Self::VouchRequest {
                 asker: peer_address(&request.asker_address)?,
                 instance: request.instance.into(),
+                question: request.question,
             }),
             _ => Err(Error::Peer {
                 address: "frame".to_owned(),
--- a/src/members.rs
+++ b/src/members.rs
@@ -28,6 +28,9 @@
 /// A member is dead if no word of it comes for this long after it was first asked about.
 const ANSWER_WITHIN: Duration = Duration::from_millis(500);
 
+/// Latency that is forgiven in each sign of life; it also makes good clocks that drift.
+const LATENCY_SLACK: Duration = Duration::from_millis(250);
+
 /// Interval of summaries to other data centres.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -85,12 +88,16 @@
 pub struct CentreSummary {
     /// Some of its members, relays first.
     pub contacts: Vec<Member>,
+    /// True if the relays hear nothing of it. Only within a data centre.
+    pub cut_off: bool,
     /// Its name.
     pub data_centre: DataCentreName,
     /// Member that made the summary.
     pub from: InstanceName,
     /// Its live members.
     pub live_count: u32,
+    /// The relays' count of changes to what they know of it. Only within a data centre.
+    pub revision: u64,
     /// Grows with every summary of the same member.
     pub sequence: u64,
     /// Newest table version there.
@@ -110,6 +117,8 @@
         instance: InstanceName,
         /// Sender's table version.
         table_version: TableVersion,
+        /// Time since the sender's start, by its own clock.
+        uptime: Duration,
     },
     /// Everything the sender knows.
     Directory {
@@ -120,7 +129,7 @@
     },
     /// News of one member.
     Note(Member),
-    /// Summary of the sender's data centre.
+    /// Summary of the sender's data centre, or, within a data centre, of another one.
     Summary(CentreSummary),
     /// The member was heard of.
     Vouch {
@@ -128,6 +137,10 @@
         epoch: Epoch,
         /// The member.
         instance: InstanceName,
+        /// Question that this answers.
+        question: u64,
+        /// Its uptime in the last beat that the sender knows.
+        uptime: Duration,
     },
     /// Is the member alive?
     VouchRequest {
@@ -135,6 +148,8 @@
         asker: SocketAddr,
         /// The member.
         instance: InstanceName,
+        /// Number of the question.
+        question: u64,
     },
 }
 
@@ -155,15 +170,47 @@
     asked_at: Option<Duration>,
     directory_sent_at: Option<Duration>,
     heard_at: Duration,
+    heard_uptime: Duration,
     member: Member,
 }
 
+impl KnownMember {
+    /// Takes a sign of life that the member gave at `uptime` by its clock. A sign that was long
+    /// on the way counts for when it was given, not for when it came.
+    fn hear(&mut self, now: Duration, uptime: Duration) {
+        if uptime <= self.heard_uptime {
+            return;
+        }
+        let since = uptime - self.heard_uptime;
+        self.heard_uptime = uptime;
+        self.heard_at = now.min(self.heard_at + since + LATENCY_SLACK);
+        if now.saturating_sub(self.heard_at) < ASK_AFTER {
+            self.asked_at = None;
+        }
+    }
+}
+
 #[derive(Debug)]
 struct KnownCentre {
     heard_at: Duration,
     summary: CentreSummary,
 }
 
+impl KnownCentre {
+    /// True if a summary says something that members have to hear of.
+    fn differs(&self, summary: &CentreSummary) -> bool {
+        let names = |summary: &CentreSummary| -> Vec<(InstanceName, Epoch)> {
+            let contacts = summary.contacts.iter();
+            contacts
+                .map(|contact| (contact.instance.clone(), contact.epoch))
+                .collect()
+        };
+        self.summary.cut_off
+            || self.summary.live_count != summary.live_count
+            || names(&self.summary) != names(summary)
+    }
+}
+
 /// What one instance knows of all.
 #[derive(Debug)]
 pub struct Members {
@@ -175,6 +222,8 @@
     own: Member,
     seeds: Vec<SocketAddr>,
     summary_at: Duration,
+    tell_own_at: Duration,
+    was_relay: bool,
     summary_sequence: u64,
     table_version: TableVersion,
 }
@@ -195,6 +244,8 @@
             own,
             seeds,
             summary_at: Duration::ZERO,
+            tell_own_at: Duration::ZERO,
+            was_relay: false,
             summary_sequence: 0,
             table_version: 0,
         }
@@ -234,28 +285,24 @@
     }
 
     /// Summaries of the other data centres that are not cut off.
-    pub fn centres(&self, now: Duration) -> impl Iterator<Item = &CentreSummary> {
-        let reachable =
-            move |known: &&KnownCentre| now.saturating_sub(known.heard_at) < CENTRE_TIMEOUT;
-        self.centres
-            .values()
-            .filter(reachable)
-            .map(|known| &known.summary)
+    pub fn centres(&self) -> impl Iterator<Item = &CentreSummary> {
+        let summaries = self.centres.values().map(|known| &known.summary);
+        summaries.filter(|summary| !summary.cut_off)
     }
 
     /// Live instances in all data centres that are not cut off.
-    pub fn live_count(&self, now: Duration) -> u32 {
+    pub fn live_count(&self) -> u32 {
         let here = 1 + self.live().count() as u32;
         here + self
-            .centres(now)
+            .centres()
             .map(|summary| summary.live_count)
             .sum::<u32>()
     }
 
     /// Data centre that is home to a name, such as a partition's.
-    pub fn home_centre(&self, now: Duration, name: &str) -> DataCentreName {
+    pub fn home_centre(&self, name: &str) -> DataCentreName {
         let mut best = (rank(name, &self.own.data_centre), &self.own.data_centre);
-        for summary in self.centres(now) {
+        for summary in self.centres() {
             let ranked = (rank(name, &summary.data_centre), &summary.data_centre);
             best = best.max(ranked);
         }
@@ -289,6 +336,7 @@
         self.beat_if_due(now, &mut sends);
         self.watch(now, &mut sends);
         self.summarize_if_due(now, &mut sends);
+        self.watch_centres(now, &mut sends);
         self.forget(now);
         sends
     }
@@ -301,21 +349,47 @@
                 directory_hash,
                 epoch,
                 instance,
+                uptime,
                 ..
-            } => self.receive_beat(now, &instance, epoch, directory_hash, &mut sends),
+            } => {
+                let is_current = self.receive_beat(now, &instance, epoch, uptime, &mut sends);
+                if is_current && directory_hash != self.directory_hash() {
+                    self.send_directory(now, &instance, &mut sends);
+                }
+            }
             MemberMessage::Directory { centres, members } => {
                 for member in members {
                     self.receive_note(now, member, false, &mut sends);
                 }
                 for summary in centres {
-                    self.receive_summary(now, summary);
+                    self.receive_inner_summary(now, summary);
                 }
             }
             MemberMessage::Note(member) => self.receive_note(now, member, true, &mut sends),
-            MemberMessage::Summary(summary) => self.receive_summary(now, summary),
-            MemberMessage::Vouch { epoch, instance } => self.receive_vouch(now, &instance, epoch),
-            MemberMessage::VouchRequest { asker, instance } => {
-                self.answer_vouch(now, &instance, asker, &mut sends);
+            MemberMessage::Summary(summary) if summary.data_centre == self.own.data_centre => {
+                self.join_through(&summary, &mut sends);
+            }
+            MemberMessage::Summary(summary) if summary.revision > 0 => {
+                self.receive_inner_summary(now, summary);
+            }
+            MemberMessage::Summary(summary) => self.receive_summary(now, summary, &mut sends),
+            MemberMessage::Vouch {
+                epoch,
+                instance,
+                question,
+                uptime,
+            } => self.receive_vouch(now, &instance, epoch, uptime, question),
+            MemberMessage::VouchRequest {
+                asker,
+                instance,
+                question,
+            } => {
+                if let Some(answer) = self.vouch(now, &instance, question) {
+                    sends.push(MemberSend {
+                        message: answer,
+                        to: asker,
+                    });
+                }
             }
         }
         sends
@@ -345,8 +419,8 @@
         if !is_own_added {
             add(&self.own);
         }
-        for centre in self.centres.keys() {
-            text.push_str(centre);
+        for (centre, known) in &self.centres {
+            let _ = writeln!(text, "{centre} {}", known.summary.revision);
         }
         xxh3_64(text.as_bytes())
     }
@@ -362,7 +436,7 @@
         };
         for seed in &self.seeds {
             let is_member = self.live().any(|member| member.peer_address == *seed);
-            let contacts = self.centres(now).flat_map(|summary| &summary.contacts);
+            let contacts = self.centres().flat_map(|summary| &summary.contacts);
             let is_contact = contacts
                 .into_iter()
                 .any(|contact| contact.peer_address == *seed);
@@ -389,6 +463,7 @@
                     epoch: self.own.epoch,
                     instance: self.own.instance.clone(),
                     table_version: self.table_version,
+                    uptime: now,
                 },
                 to: monitor.peer_address,
             });
@@ -412,6 +487,13 @@
             .collect()
     }
 
+    fn is_monitor_of(&self, instance: &InstanceName) -> bool {
+        let monitors = self.monitors_of(instance);
+        monitors
+            .iter()
+            .any(|monitor| monitor.instance == self.own.instance)
+    }
+
     /// Asks about silent members that this instance monitors, and tells of the dead.
     fn watch(&mut self, now: Duration, sends: &mut MemberSends) {
         let mut dead = Vec::new();
@@ -438,7 +520,8 @@
                 continue;
             }
             let asked_at = *known.asked_at.get_or_insert(now);
-            if now.saturating_sub(asked_at) >= ANSWER_WITHIN {
+            let is_asked = now.saturating_sub(asked_at) >= ANSWER_WITHIN;
+            if is_asked || is_off(Safeguard::AskBeforeDeath) {
                 known.member.dead = true;
                 known.heard_at = now;
                 dead.push(known.member.clone());
@@ -450,6 +533,7 @@
                     message: MemberMessage::VouchRequest {
                         asker: self.own.peer_address,
                         instance: instance.clone(),
+                        question: asked_at.as_millis() as u64,
                     },
                     to,
                 });
@@ -513,9 +597,11 @@
         contacts.truncate(CONTACTS);
         CentreSummary {
             contacts,
+            cut_off: false,
             data_centre: self.own.data_centre.clone(),
             from: self.own.instance.clone(),
             live_count: 1 + self.live().count() as u32,
+            revision: 0,
             sequence: self.summary_sequence,
             table_version: self.table_version,
         }
@@ -527,39 +613,47 @@
         });
     }
 
+    /// Takes a beat. Returns true if it is of the life that is known.
     fn receive_beat(
         &mut self,
         now: Duration,
         instance: &InstanceName,
         epoch: Epoch,
-        directory_hash: u64,
+        uptime: Duration,
         sends: &mut MemberSends,
-    ) {
-        let own_hash = self.directory_hash();
+    ) -> bool {
         let Some(known) = self.known.get_mut(instance) else {
-            return;
+            return false;
         };
-        let to = known.member.peer_address;
-        if epoch < known.member.epoch || (epoch == known.member.epoch && known.member.dead) {
-            // An old life, or one that does not know of its death.
+        let is_known_life = epoch == known.member.epoch && !known.member.dead;
+        if !is_known_life {
+            // An old life, one that does not know of its death, or one whose news was lost: what
+            // the member hears of itself makes it tell of itself anew.
             sends.push(MemberSend {
                 message: MemberMessage::Note(known.member.clone()),
-                to,
+                to: known.member.peer_address,
             });
-            return;
+            return false;
         }
-        known.heard_at = now;
-        known.asked_at = None;
-        let may_send = known
-            .directory_sent_at
-            .is_none_or(|sent_at| now.saturating_sub(sent_at) >= DIRECTORY_PAUSE);
-        if directory_hash != own_hash && may_send {
-            known.directory_sent_at = Some(now);
-            sends.push(MemberSend {
-                message: self.directory(now),
-                to,
-            });
+        known.hear(now, uptime);
+        true
+    }
+
+    /// Sends everything known to a member, but not too often.
+    fn send_directory(&mut self, now: Duration, to: &InstanceName, sends: &mut MemberSends) {
+        let directory = self.directory();
+        let Some(known) = self.known.get_mut(to) else {
+            return;
+        };
+        let sent_at = known.directory_sent_at;
+        if sent_at.is_some_and(|sent_at| now.saturating_sub(sent_at) < DIRECTORY_PAUSE) {
+            return;
         }
+        known.directory_sent_at = Some(now);
+        sends.push(MemberSend {
+            message: directory,
+            to: known.member.peer_address,
+        });
     }
 
     /// Takes news of a member. `tell_on` passes news of a join on to the data centre.
@@ -571,7 +665,7 @@
         sends: &mut MemberSends,
     ) {
         if member.instance == self.own.instance {
-            self.refute(&member, sends);
+            self.refute(now, &member, sends);
             return;
         }
         if member.data_centre != self.own.data_centre {
@@ -580,6 +674,7 @@
         }
         let known = self.known.get_mut(&member.instance);
         let is_new = match &known {
+            Some(known) if is_off(Safeguard::EpochOrder) => member != known.member,
             Some(known) => member.news() > known.member.news(),
             None => !member.dead,
         };
@@ -598,15 +693,21 @@
                 asked_at: None,
                 directory_sent_at: Some(now),
                 heard_at: now,
+                heard_uptime: Duration::ZERO,
                 member: member.clone(),
             },
         );
         if !tell_on {
             return;
         }
+        let is_monitored_here = member.dead && self.is_monitor_of(&member.instance);
+        if is_monitored_here {
+            // Each monitor tells of a death, so that one lost message does not hide it.
+            self.broadcast(&member, sends);
+        }
         if is_join && !member.dead {
             sends.push(MemberSend {
-                message: self.directory(now),
+                message: self.directory(),
                 to,
             });
             self.broadcast(&member, sends);
@@ -634,15 +735,8 @@
             });
             return;
         }
-        let pause_is_over = known
-            .directory_sent_at
-            .is_none_or(|sent_at| now.saturating_sub(sent_at) >= DIRECTORY_PAUSE);
-        if is_from_member && pause_is_over && member.epoch == known.member.epoch {
-            known.directory_sent_at = Some(now);
-            sends.push(MemberSend {
-                message: self.directory(now),
-                to: member.peer_address,
-            });
+        if is_from_member && member.epoch == known.member.epoch {
+            self.send_directory(now, &member.instance, sends);
         }
     }
 
@@ -652,16 +746,30 @@
             return;
         }
         let to = member.peer_address;
-        if !self.centres.contains_key(&member.data_centre) {
+        let reachable = self
+            .centres()
+            .find(|known| known.data_centre == member.data_centre);
+        if let Some(known) = reachable {
+            // The member may have met nobody of its own data centre yet.
+            sends.push(MemberSend {
+                message: MemberMessage::Summary(CentreSummary {
+                    revision: 0,
+                    ..known.clone()
+                }),
+                to,
+            });
+        } else {
             let summary = CentreSummary {
                 contacts: vec![member.clone()],
+                cut_off: false,
                 data_centre: member.data_centre,
                 from: member.instance,
                 live_count: 1,
+                revision: 0,
                 sequence: 0,
                 table_version: 0,
             };
-            self.receive_summary(now, summary);
+            self.receive_summary(now, summary, sends);
         }
         sends.push(MemberSend {
             message: MemberMessage::Summary(self.own_summary()),
@@ -670,8 +778,16 @@
     }
 
     /// News of this instance: an equal or later life than its own, or its death, is not true.
-    fn refute(&mut self, told: &Member, sends: &mut MemberSends) {
-        if told.epoch < self.own.epoch || (told.epoch == self.own.epoch && !told.dead) {
+    fn refute(&mut self, now: Duration, told: &Member, sends: &mut MemberSends) {
+        if told.epoch == self.own.epoch && !told.dead {
+            return;
+        }
+        if told.epoch < self.own.epoch {
+            // Somebody has missed this life.
+            if now >= self.tell_own_at {
+                self.tell_own_at = now + DIRECTORY_PAUSE;
+                self.broadcast(&self.own, sends);
+            }
             return;
         }
         self.own.epoch = told.epoch + 1;
@@ -682,73 +798,167 @@
         self.broadcast(&self.own, sends);
     }
 
-    fn receive_summary(&mut self, now: Duration, summary: CentreSummary) {
-        if summary.data_centre == self.own.data_centre {
+    /// Joins the members of this data centre that another one knows and this instance does not.
+    fn join_through(&self, summary: &CentreSummary, sends: &mut MemberSends) {
+        for contact in &summary.contacts {
+            let is_own = contact.instance == self.own.instance;
+            if is_own || self.known.contains_key(&contact.instance) {
+                continue;
+            }
+            sends.push(MemberSend {
+                message: MemberMessage::Note(self.own.clone()),
+                to: contact.peer_address,
+            });
+        }
+    }
+
+    /// Takes a summary from another data centre. Relays keep the time; the others pass it to them.
+    fn receive_summary(&mut self, now: Duration, summary: CentreSummary, sends: &mut MemberSends) {
+        let is_new = !self.centres.contains_key(&summary.data_centre);
+        if !self.is_relay() && !is_new {
+            self.pass_to_relays(&summary, sends);
             return;
         }
-        match self.centres.get_mut(&summary.data_centre) {
+        let known = self.centres.get_mut(&summary.data_centre);
+        let (revision, is_news) = match &known {
             Some(known) => {
                 // Two relays take turns; within one of them an older summary changes nothing, but
                 // a new life of it counts from 0 again.
                 let is_older = summary.from == known.summary.from
-                    && summary.sequence <= known.summary.sequence;
-                let is_silent = now.saturating_sub(known.heard_at) >= CENTRE_TIMEOUT;
-                if !is_older || is_silent {
-                    known.heard_at = now;
-                    known.summary = summary;
+                    && summary.sequence <= known.summary.sequence
+                    && now.saturating_sub(known.heard_at) < CENTRE_TIMEOUT;
+                if is_older {
+                    return;
                 }
+                (known.summary.revision, known.differs(&summary))
             }
-            None => {
-                let name = summary.data_centre.clone();
-                let heard_at = now;
-                self.centres.insert(name, KnownCentre { heard_at, summary });
+            None => (0, true),
+        };
+        let revision = revision + u64::from(is_news);
+        let summary = CentreSummary {
+            revision,
+            ..summary
+        };
+        if is_news {
+            self.tell_here(&summary, sends);
+        }
+        let name = summary.data_centre.clone();
+        let heard_at = now;
+        self.centres.insert(name, KnownCentre { heard_at, summary });
+    }
+
+    /// Takes what a relay of this data centre knows of another one.
+    fn receive_inner_summary(&mut self, now: Duration, summary: CentreSummary) {
+        if summary.data_centre == self.own.data_centre {
+            return;
+        }
+        let known = self.centres.get(&summary.data_centre);
+        let order = |summary: &CentreSummary| (summary.revision, summary.from.clone());
+        if known.is_some_and(|known| order(&summary) <= order(&known.summary)) {
+            return;
+        }
+        let heard_at = known.map_or(now, |known| known.heard_at);
+        let name = summary.data_centre.clone();
+        self.centres.insert(name, KnownCentre { heard_at, summary });
+    }
+
+    fn pass_to_relays(&self, summary: &CentreSummary, sends: &mut MemberSends) {
+        let mut relays: Vec<&Member> = self.staying().collect();
+        relays.sort_by_key(|member| ring_place(&member.instance));
+        for relay in relays.into_iter().take(RELAYS) {
+            sends.push(MemberSend {
+                message: MemberMessage::Summary(summary.clone()),
+                to: relay.peer_address,
+            });
+        }
+    }
+
+    fn tell_here(&self, summary: &CentreSummary, sends: &mut MemberSends) {
+        for member in self.live() {
+            sends.push(MemberSend {
+                message: MemberMessage::Summary(summary.clone()),
+                to: member.peer_address,
+            });
+        }
+    }
+
+    /// As a relay, notices data centres that have fallen silent and tells the members.
+    fn watch_centres(&mut self, now: Duration, sends: &mut MemberSends) {
+        let is_relay = self.is_relay();
+        let is_new_relay = is_relay && !self.was_relay;
+        self.was_relay = is_relay;
+        if !is_relay {
+            return;
+        }
+        let mut silent = Vec::new();
+        for known in self.centres.values_mut() {
+            if is_new_relay {
+                known.heard_at = now;
+            }
+            let is_silent = now.saturating_sub(known.heard_at) >= CENTRE_TIMEOUT;
+            if !is_silent || known.summary.cut_off {
+                continue;
             }
+            known.summary.cut_off = true;
+            known.summary.revision += 1;
+            silent.push(known.summary.clone());
+        }
+        for summary in silent {
+            warn!("data centre {} is cut off", summary.data_centre);
+            self.tell_here(&summary, sends);
         }
     }
 
-    fn receive_vouch(&mut self, now: Duration, instance: &InstanceName, epoch: Epoch) {
+    fn receive_vouch(
+        &mut self,
+        now: Duration,
+        instance: &InstanceName,
+        epoch: Epoch,
+        uptime: Duration,
+        question: u64,
+    ) {
         let Some(known) = self.known.get_mut(instance) else {
             return;
         };
-        if epoch >= known.member.epoch && !known.member.dead {
-            known.asked_at = None;
-            // Heard at second hand: it is asked about again soon if it stays silent.
-            known.heard_at = known.heard_at.max(now.saturating_sub(ASK_AFTER / 2));
+        let asked = known.asked_at.map(|asked_at| asked_at.as_millis() as u64);
+        if asked == Some(question) && epoch >= known.member.epoch && !known.member.dead {
+            known.hear(now, uptime);
         }
     }
 
-    fn answer_vouch(
+    /// What this instance knows of a member's life.
+    fn vouch(
         &self,
         now: Duration,
         instance: &InstanceName,
-        asker: SocketAddr,
-        sends: &mut MemberSends,
-    ) {
-        let epoch = if *instance == self.own.instance {
-            Some(self.own.epoch)
+        question: u64,
+    ) -> Option<MemberMessage> {
+        let (uptime, epoch) = if *instance == self.own.instance {
+            (now, self.own.epoch)
         } else {
-            let known = self.known.get(instance);
-            let fresh = known.filter(|known| {
-                !known.member.dead && now.saturating_sub(known.heard_at) < ASK_AFTER
-            });
-            fresh.map(|known| known.member.epoch)
+            let known = self
+                .known
+                .get(instance)
+                .filter(|known| !known.member.dead)?;
+            (known.heard_uptime, known.member.epoch)
         };
-        if let Some(epoch) = epoch {
-            sends.push(MemberSend {
-                message: MemberMessage::Vouch {
-                    epoch,
-                    instance: instance.clone(),
-                },
-                to: asker,
-            });
-        }
+        Some(MemberMessage::Vouch {
+            epoch,
+            instance: instance.clone(),
+            question,
+            uptime,
+        })
     }
 
-    fn directory(&self, now: Duration) -> MemberMessage {
+    fn directory(&self) -> MemberMessage {
         let mut members = vec![self.own.clone()];
         members.extend(self.known.values().map(|known| known.member.clone()));
         MemberMessage::Directory {
-            centres: self.centres(now).cloned().collect(),
+            centres: self
+                .centres
+                .values()
+                .map(|known| known.summary.clone())
+                .collect(),
             members,
         }
     }
--- a/src/order.rs
+++ b/src/order.rs
@@ -72,6 +72,11 @@
         self.version
     }
 
+    /// False if the log no longer holds what a new reader needs.
+    pub fn is_based(&self) -> bool {
+        self.has_base || self.next_offset == 0
+    }
+
     /// Rows in force.
     pub fn rows(&self) -> &TableRows {
         &self.rows
@@ -111,7 +116,7 @@
 
     /// Takes a version from a peer. Returns true if it is newer.
     pub fn adopt(&mut self, version: TableVersion, rows: TableRows) -> bool {
-        if version <= self.version {
+        if version <= self.version && !is_off(Safeguard::VersionMonotone) {
             return false;
         }
         self.version = version;
@@ -192,7 +197,7 @@
         }
         // Version 0 means "before the first edit", and the first edit may have offset 0.
         let version = entry.offset + 1;
-        if edit.base_version != self.version {
+        if edit.base_version != self.version && !is_off(Safeguard::EditBase) {
             return TableEvent::Conflict {
                 current: self.version,
             };
@@ -231,6 +236,14 @@
             .record
             .as_ref()
             .and_then(|record| record.body.as_ref());
+        if let Some(Body::TableSnapshot(snapshot)) = body
+            && is_off(Safeguard::SnapshotConfirmed)
+        {
+            self.has_base = true;
+            self.version = snapshot.version;
+            self.rows = snapshot.table.clone().unwrap_or_default();
+            return TableEvent::Unchanged;
+        }
         let Some(Body::SnapshotConfirmed(confirmed)) = body else {
             self.unbased.push(entry.clone());
             return TableEvent::Unchanged;
--- a/src/peer_actor.rs
+++ b/src/peer_actor.rs
@@ -173,7 +173,7 @@
         let now = self.now();
         let sends = self.members.tick(now);
         self.send_all(sends);
-        let live = self.members.live_count(now).max(1);
+        let live = self.members.live_count().max(1);
         if let Some(context) = &self.context {
             context.counts.live_count.store(live, Ordering::Relaxed);
         }
@@ -189,7 +189,7 @@
 
     /// Sends to one contact of each other data centre, who tells its own.
     fn send_abroad(&self, body: &Body) {
-        for summary in self.members.centres(self.now()) {
+        for summary in self.members.centres() {
             if let Some(contact) = summary.contacts.first() {
                 self.links.send(contact.peer_address, body.clone());
             }
@@ -233,13 +233,12 @@
     /// Address of the instance that gathers a partition's claims; `None` if it is this one.
     fn gatherer_of(&self, partition: u32, is_passed_on: bool) -> Option<SocketAddr> {
         let name = partition_name(partition);
-        let now = self.now();
-        let home_centre = self.members.home_centre(now, &name);
+        let home_centre = self.members.home_centre(&name);
         if home_centre != self.members.own().data_centre {
             if is_passed_on {
                 return None;
             }
-            let mut centres = self.members.centres(now);
+            let mut centres = self.members.centres();
             let home = centres.find(|summary| summary.data_centre == home_centre)?;
             return home.contacts.first().map(|contact| contact.peer_address);
         }
@@ -368,7 +367,7 @@
                 takers.push(home.peer_address);
             }
         }
-        for summary in self.members.centres(self.now()) {
+        for summary in self.members.centres() {
             if let Some(contact) = summary.contacts.first() {
                 takers.push(contact.peer_address);
             }
@@ -514,7 +513,7 @@
     fn handle(&mut self, message: FetchSession, _: &mut Self::Context) -> Self::Result {
         let key = message.0;
         let mut asked = self.ask_homes(&key, 1);
-        for summary in self.members.centres(self.now()) {
+        for summary in self.members.centres() {
             if let Some(contact) = summary.contacts.first() {
                 asked.push(self.ask_session(contact.peer_address, &key, 0));
             }
@@ -573,15 +572,14 @@
     type Result = MessageResult<AskMembership>;
 
     fn handle(&mut self, _: AskMembership, _: &mut Self::Context) -> Self::Result {
-        let now = self.now();
         let mut centres = Vec::new();
-        for summary in self.members.centres(now) {
+        for summary in self.members.centres() {
             let name = summary.data_centre.clone();
             centres.push((name, summary.live_count, summary.table_version));
         }
         MessageResult(MembershipStatus {
             centres,
-            live_count: self.members.live_count(now),
+            live_count: self.members.live_count(),
             members: self
                 .members
                 .staying()
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -17,6 +17,9 @@
 /// Time for asking a backend server about a key.
 const LOOKUP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for the log to order a release.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Servers that a call may try.
 const ATTEMPTS_MAX: usize = 4;
 
@@ -173,9 +176,15 @@
     let placement = context.admit(ask.clone(), false).await?;
     let task = OnceTask {
         ask,
-        call: OnceCall::new(claim, request.key.is_none(), context.settings.claim_window),
+        call: OnceCall::new(
+            boot_time(),
+            claim,
+            request.key.is_none(),
+            context.settings.claim_window,
+        ),
         failed: None,
         headers: request.headers_to_send(Some(&key)),
+        is_placed: true,
         key: key.clone(),
         placement,
         request,
@@ -198,6 +207,8 @@
     /// The last attempt's failure, until the attempt is ended.
     failed: Option<AttemptError>,
     headers: Vec<(String, Vec<u8>)>,
+    /// True while `placement` is counted as running.
+    is_placed: bool,
     key: SmolStr,
     placement: Placement,
     request: &'a PlainRequest,
@@ -212,7 +223,7 @@
         let context = self.worker.context.clone();
         let result = self.steps(&context).await;
         // An attempt that a retry ended is not ended again.
-        if self.failed.is_none() {
+        if self.is_placed {
             end_attempt(&context, &self.ask, &self.placement);
         }
         context.router.do_send(FinishRequest {
@@ -235,14 +246,22 @@
         );
         let mut event = OnceEvent::Ordered(verdict);
         loop {
-            let step = context.checked(self.call.step(event))?;
-            if let Some(record) = step.record {
-                record_later(context, record);
-            }
+            let step = context.checked(self.call.step(boot_time(), event))?;
             event = match step.action {
                 OnceAction::LookUp => OnceEvent::Found(self.look_up().await),
-                OnceAction::Place => OnceEvent::Placed(self.place().await),
-                OnceAction::Reply(reply) => return self.reply(context, reply),
+                OnceAction::Place { pause } => {
+                    tokio::time::sleep(pause).await;
+                    OnceEvent::Placed(self.place().await)
+                }
+                OnceAction::Release => {
+                    OnceEvent::Ordered(order_release(context, step.record).await)
+                }
+                OnceAction::Reply(reply) => {
+                    if let Some(record) = step.record {
+                        record_later(context, record);
+                    }
+                    return self.reply(context, reply);
+                }
                 OnceAction::Send { fencing } => self.send(fencing).await,
             };
         }
@@ -284,21 +303,26 @@
         Ok(OnceEvent::Answered(record))
     }
 
-    /// Places the call on another server after one that did not run it.
+    /// Places the call on another server after one that did not run it. Servers that failed it are
+    /// tried again once all have: they may have come back.
     async fn place(&mut self) -> Result {
-        let failure = self
-            .failed
-            .as_ref()
-            .map_or(Failure::Connect, |failed| failed.failure);
+        let context = self.worker.context.clone();
+        let Some(failed) = self.failed.take() else {
+            self.tried.clear();
+            self.placement = context.place_again(self.ask.clone()).await?;
+            self.is_placed = true;
+            return Ok(());
+        };
         self.tried.push(self.placement.server.name.clone());
         let retry = RetryAsk {
             ask: self.ask.clone(),
             failed: self.placement.clone(),
-            failure,
+            failure: failed.failure,
             tried: self.tried.clone(),
         };
-        self.placement = self.worker.context.retry(retry).await?;
-        self.failed = None;
+        self.is_placed = false;
+        self.placement = context.retry(retry).await?;
+        self.is_placed = true;
         Ok(())
     }
 
@@ -418,6 +442,19 @@
     builder.body(answer.body.clone())
 }
 
+/// Waits for the log to order a release; it gets there even if nobody waits any more.
+async fn order_release(context: &Arc<Context>, record: Option<ClaimRecord>) -> Verdict {
+    let Some(record) = record else {
+        return Verdict::Unavailable;
+    };
+    let context = context.clone();
+    let ordered = actix_rt::spawn(async move { context.order(record).await });
+    match tokio::time::timeout(RELEASE_TIMEOUT, ordered).await {
+        Ok(Ok(verdict)) => verdict,
+        Ok(Err(_)) | Err(_) => Verdict::Unavailable,
+    }
+}
+
 /// Appends an answer or a release without holding up the caller.
 fn record_later(context: &Arc<Context>, record: ClaimRecord) {
     let context = context.clone();
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -40,6 +40,12 @@
 ) -> Result<TableVersion> {
     Table::try_from(new)?;
     let mut table_log = read_table_log(log).await?;
+    if !table_log.is_based() {
+        return Err(Error::LogService {
+            reason: "the stream has lost the table's start; wait for an instance's snapshot"
+                .to_owned(),
+        });
+    }
     let base = base.unwrap_or(table_log.version());
     if base != table_log.version() {
         return Err(conflict(&table_log, base));
--- a/src/router.rs
+++ b/src/router.rs
@@ -121,7 +121,8 @@
     }
 
     fn is_live(&self, now: Duration) -> bool {
-        self.leaving.is_empty() && now >= self.down_until
+        let stays = self.leaving.is_empty() || is_off(Safeguard::Leaving);
+        stays && now >= self.down_until
     }
 
     /// Requests at the server: the last report plus what this instance has sent since.
@@ -242,6 +243,13 @@
         }
     }
 
+    /// Places an admitted request anew, on any of its servers.
+    pub fn place_again(&mut self, now: Duration, ask: &Ask) -> Result<Placement> {
+        let table = self.table.clone();
+        let account = find_account(&table, &ask.account)?;
+        self.choose(now, account, ask, None, &[])
+    }
+
     /// Places a request that another instance accepted: it is carried on whatever its account's
     /// limits say now.
     pub fn readmit(&mut self, now: Duration, ask: &Ask) -> Result<Placement> {
@@ -502,7 +510,7 @@
             });
         };
         let state = &mut self.servers[choice.index];
-        if !state.leaving.is_empty() {
+        if !state.leaving.is_empty() && !is_off(Safeguard::Leaving) {
             return Err(Error::Invariant {
                 invariant: "a leaving server gets no new work",
             });
--- a/src/router_actor.rs
+++ b/src/router_actor.rs
@@ -12,6 +12,14 @@
     pub handed_over: bool,
 }
 
+/// Places an admitted request anew, on any of its servers.
+#[derive(Message)]
+#[rtype(result = "Result<Placement>")]
+pub struct PlaceAgain {
+    /// The request.
+    pub ask: Ask,
+}
+
 /// Ends a failed attempt and places the next.
 #[derive(Message)]
 #[rtype(result = "Result<Placement>")]
@@ -236,6 +244,16 @@
     }
 }
 
+impl Handler<PlaceAgain> for RouterActor {
+    type Result = Result<Placement>;
+
+    fn handle(&mut self, message: PlaceAgain, _: &mut Self::Context) -> Self::Result {
+        let now = self.now();
+        let placed = self.router.place_again(now, &message.ask);
+        self.checked(placed)
+    }
+}
+
 impl Handler<RetryAsk> for RouterActor {
     type Result = Result<Placement>;
 
--- a/src/share.rs
+++ b/src/share.rs
@@ -118,7 +118,11 @@
             if *weight == 0 || usable.get(index) != Some(&true) {
                 continue;
             }
-            let due = self.credits[index] + weight;
+            let credit = match is_off(Safeguard::Shares) {
+                true => 0,
+                false => self.credits[index],
+            };
+            let due = credit + weight;
             if best.is_none_or(|(most, _)| due > most) {
                 best = Some((due, index));
             }
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -25,7 +25,7 @@
         for member in chosen {
             self.links.send(member.peer_address, notice.clone());
         }
-        for summary in self.members.centres(self.now()) {
+        for summary in self.members.centres() {
             if summary.table_version < version
                 && let Some(contact) = summary.contacts.first()
             {
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -335,6 +335,9 @@
     pub directory_hash: u64,
     #[prost(uint64, tag = "4")]
     pub table_version: u64,
+    /// Time since the sender's start, by its own clock.
+    #[prost(uint64, tag = "5")]
+    pub uptime_ms: u64,
 }
 /// All members that the sender knows; sent when directory hashes differ, and to who joins.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -357,6 +360,9 @@
     pub instance: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub asker_address: ::prost::alloc::string::String,
+    /// Comes back in the answer, so that an answer to an earlier question is told apart.
+    #[prost(uint64, tag = "3")]
+    pub question: u64,
 }
 /// The member was heard of within the monitor's time.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -365,6 +371,11 @@
     pub instance: ::prost::alloc::string::String,
     #[prost(fixed64, tag = "2")]
     pub epoch: u64,
+    /// Member's uptime in its last beat that the sender knows.
+    #[prost(uint64, tag = "3")]
+    pub uptime_ms: u64,
+    #[prost(uint64, tag = "4")]
+    pub question: u64,
 }
 /// What a data centre tells the others.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -383,6 +394,12 @@
     /// Instance that made the summary.
     #[prost(string, tag = "6")]
     pub from: ::prost::alloc::string::String,
+    /// Within a data centre: its relays' count of changes to what they know of this one.
+    #[prost(uint64, tag = "7")]
+    pub revision: u64,
+    /// Within a data centre: true if its relays hear nothing of this one.
+    #[prost(bool, tag = "8")]
+    pub cut_off: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TableNotice {
