--- /dev/null
+++ b/bench/src/routing.rs
@@ -0,0 +1,64 @@
+//! Time of admissions by the number of backend servers that serve the subject.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use ebonyspread::prefix::prefix_hashes;
+use ebonyspread::router::Ask;
+use ebonyspread::router::Router;
+use ebonyspread::table::Subject;
+use ebonyspread::table::Table;
+
+use crate::table::table_of;
+
+const ROUNDS: u32 = 20_000;
+
+/// Prompt of 6,000 bytes, as the load tool's contexts.
+const PROMPT_BYTES: usize = 6_000;
+
+/// Measures each number of servers asked for.
+pub fn run(sizes: &[usize]) -> Result<(), String> {
+    println!("| candidates | admit and end, µs, mean | p99 |");
+    println!("|---|---|---|");
+    for servers in sizes {
+        let rows = table_of(*servers);
+        let table = Table::try_from(&rows).map_err(|error| error.to_string())?;
+        let mut router = Router::new("centre-0".into(), 1);
+        router
+            .apply_table(1, Arc::new(table))
+            .map_err(|error| error.to_string())?;
+        let mut times = Vec::new();
+        for round in 0..ROUNDS {
+            let ask = ask(round);
+            let now = Duration::from_millis(u64::from(round) * 10);
+            let began = Instant::now();
+            let placement = router.admit(now, &ask).map_err(|error| error.to_string())?;
+            router.end_attempt(now, &ask, &placement, None);
+            router.finish(&ask, 10);
+            times.push(began.elapsed());
+        }
+        times.sort();
+        let mean = times.iter().sum::<Duration>() / ROUNDS;
+        let p99 = times[times.len() * 99 / 100];
+        println!(
+            "| {servers} | {:.1} | {:.1} |",
+            mean.as_secs_f64() * 1e6,
+            p99.as_secs_f64() * 1e6
+        );
+    }
+    Ok(())
+}
+
+fn ask(round: u32) -> Ask {
+    let prompt = vec![(round % 24) as u8; PROMPT_BYTES];
+    Ask {
+        account: "account-0".into(),
+        content_hash: u64::from(round) + 1,
+        conversation: u64::from(round % 64) + 1,
+        prefixes: prefix_hashes(&prompt),
+        prompt_blocks: PROMPT_BYTES.div_ceil(256),
+        request_id: "request".into(),
+        subject: Subject::Model("model".into()),
+    }
+}
--- a/src/members.rs
+++ b/src/members.rs
@@ -32,10 +32,10 @@
 const LATENCY_SLACK: Duration = Duration::from_millis(250);
 
 /// Interval of summaries to other data centres.
-const SUMMARY_INTERVAL: Duration = Duration::from_secs(2);
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(4);
 
 /// A data centre without a summary for this long counts as cut off.
-const CENTRE_TIMEOUT: Duration = Duration::from_secs(10);
+const CENTRE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Least time between two directories to the same member.
 const DIRECTORY_PAUSE: Duration = Duration::from_secs(1);
@@ -43,7 +43,8 @@
 /// Interval at which seeds that are not known are asked, at first.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The same after [`JOIN_FAST_TRIES`]; it heals partitions that outlasted all other contact.
+/// The same after [`JOIN_FAST_TRIES`], by relays and one seed at a time; it heals partitions that
+/// outlasted all other contact.
 const JOIN_SLOW_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Tries at the first interval.
@@ -53,7 +54,7 @@
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
 /// Contacts named in a summary.
-const CONTACTS: usize = 4;
+const CONTACTS: usize = 3;
 
 /// Number of a process's life; the higher one is the later.
 pub type Epoch = u64;
@@ -430,24 +431,33 @@
             return;
         }
         self.join_tries += 1;
-        self.join_at = match self.join_tries <= JOIN_FAST_TRIES {
-            true => now + JOIN_INTERVAL,
-            false => now + JOIN_SLOW_INTERVAL,
-        };
-        for seed in &self.seeds {
-            let is_member = self.live().any(|member| member.peer_address == *seed);
-            let contacts = self.centres().flat_map(|summary| &summary.contacts);
-            let is_contact = contacts
-                .into_iter()
-                .any(|contact| contact.peer_address == *seed);
-            if is_member || is_contact {
-                continue;
+        if self.join_tries <= JOIN_FAST_TRIES {
+            self.join_at = now + JOIN_INTERVAL;
+            for seed in &self.seeds {
+                self.ask_seed(*seed, sends);
             }
-            sends.push(MemberSend {
-                message: MemberMessage::Note(self.own.clone()),
-                to: *seed,
-            });
+            return;
+        }
+        self.join_at = now + JOIN_SLOW_INTERVAL;
+        let is_alone = self.live().next().is_none();
+        if self.seeds.is_empty() || !(is_alone || self.is_relay()) {
+            return;
         }
+        let turn = self.join_tries as usize % self.seeds.len();
+        self.ask_seed(self.seeds[turn], sends);
+    }
+
+    /// Asks to join through a seed that is not known already.
+    fn ask_seed(&self, seed: SocketAddr, sends: &mut MemberSends) {
+        let is_member = self.live().any(|member| member.peer_address == seed);
+        let mut contacts = self.centres().flat_map(|summary| &summary.contacts);
+        if is_member || contacts.any(|contact| contact.peer_address == seed) {
+            return;
+        }
+        sends.push(MemberSend {
+            message: MemberMessage::Note(self.own.clone()),
+            to: seed,
+        });
     }
 
     fn beat_if_due(&mut self, now: Duration, sends: &mut MemberSends) {
--- /dev/null
+++ b/tests/edits.rs
@@ -0,0 +1,105 @@
+//! Table edits through real instances: conflicts, outages, instances that are cut from the log.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use ebonyspread::error::Error;
+use ebonyspread::log_client::LogClient;
+use ebonyspread::publish::publish;
+use ebonyspread_standins::platform::PlatformFaults;
+use support::*;
+
+fn try_publish(
+    bench: &Bench,
+    base: u64,
+    table: &ebonyspread::wire::TableFile,
+) -> Result<u64, Error> {
+    let log = LogClient::new(&bench.platform_url);
+    block_on(async { publish(&log, "test", Some(base), table).await })
+}
+
+#[test]
+fn of_two_edits_at_once_one_conflicts() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let mut first = bench.table.clone();
+    first.client_account[0].requests_per_s = 7;
+    let mut second = bench.table.clone();
+    second.client_account[1].requests_per_s = 8;
+    let results = std::thread::scope(|scope| {
+        let one = scope.spawn(|| try_publish(&bench, 1, &first));
+        let other = scope.spawn(|| try_publish(&bench, 1, &second));
+        [one.join().unwrap(), other.join().unwrap()]
+    });
+    let accepted = results.iter().filter(|result| result.is_ok()).count();
+    assert_eq!(accepted, 1);
+    for result in results {
+        let Err(error) = result else {
+            continue;
+        };
+        let text = error.to_string();
+        assert!(
+            matches!(error, Error::TableConflict { base: 1, .. }),
+            "{text}"
+        );
+        assert!(
+            text.contains("client_account"),
+            "names the rows that differ: {text}"
+        );
+    }
+}
+
+#[test]
+fn edit_reaches_an_instance_that_is_cut_from_the_log() {
+    let mut bench = BenchBuilder::default().engines(0).data_centres(2).start();
+    // The second instance has a platform address where nobody answers.
+    let reachable = std::mem::replace(&mut bench.platform_url, "http://127.0.0.1:9".to_owned());
+    bench.add_entry(1, 1);
+    bench.platform_url = reachable;
+    bench.wait_for_version(1);
+    let mut edited = bench.table.clone();
+    edited.client_account[0].requests_per_s = 7;
+    let version = try_publish(&bench, 1, &edited).unwrap();
+    bench.wait_for_version(version);
+}
+
+#[test]
+fn instance_that_starts_during_an_outage_gets_the_table_from_a_peer() {
+    let mut bench = BenchBuilder::default().engines(0).start();
+    bench.platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    bench.add_entry(1, 0);
+    bench.wait_for_version(1);
+}
+
+#[test]
+fn edit_during_an_outage_is_accepted_once_the_log_is_back() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let mut edited = bench.table.clone();
+    edited.client_account[0].requests_per_s = 7;
+    bench.platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    assert!(matches!(
+        try_publish(&bench, 1, &edited),
+        Err(Error::LogService { .. })
+    ));
+    bench.platform.set_faults(PlatformFaults::default());
+    let version = try_publish(&bench, 1, &edited).unwrap();
+    bench.wait_for_version(version);
+}
+
+#[test]
+fn lost_answer_of_the_append_publishes_once() {
+    let bench = BenchBuilder::default().engines(0).start();
+    let mut edited = bench.table.clone();
+    edited.client_account[0].requests_per_s = 7;
+    bench.platform.set_faults(PlatformFaults {
+        lose_answers: 1,
+        ..PlatformFaults::default()
+    });
+    assert_eq!(try_publish(&bench, 1, &edited).unwrap(), 2);
+}
