Gather prefixes at a home that all instances agree on; measure placement

Change: the engine with the highest rendezvous rank for the prompt's first 16 blocks is credited with 0.7 of the prefix and wins near ties; prefill that this instance sent and cannot be done yet is part of the score.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,7 +5,9 @@
 
 mod calls;
 mod claims;
+mod engine_model;
 mod members;
+mod placement;
 mod process;
 mod routing;
 mod table;
@@ -36,6 +38,17 @@
                 /// Backend servers; may be repeated.
                 repeated --servers servers: usize
             }
+            /// Placement policies in virtual time.
+            cmd placement {
+                /// Experiment file (TOML).
+                required file: String
+                /// Use the seeds that were tuned on.
+                optional --tuned
+                /// Use this fleet instead of searching the smallest.
+                optional --fleet fleet: usize
+                /// Write a line a run here.
+                optional --csv csv: String
+            }
             /// Size and time of tables and edits.
             cmd table {
                 /// Backend servers; may be repeated.
@@ -91,6 +104,7 @@
         EbonyspreadBenchCmd::Claims(options) => claims::run(&options.keys),
         EbonyspreadBenchCmd::Edits(options) => table::run_edits(&options),
         EbonyspreadBenchCmd::Members(options) => members::run(&options),
+        EbonyspreadBenchCmd::Placement(options) => placement::run(&options),
         EbonyspreadBenchCmd::Process(options) => process::run(&options),
         EbonyspreadBenchCmd::Routing(options) => routing::run(&options.servers),
         EbonyspreadBenchCmd::Table(options) => table::run(&options.servers),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -145,6 +145,7 @@
 use crate::place::Candidate;
 use crate::place::Choice;
 use crate::place::place;
+use crate::place::prefill_ms;
 use crate::plain::PlainRequest;
 use crate::plain::serve_plain;
 use crate::poller::start_polling;
--- a/src/router.rs
+++ b/src/router.rs
@@ -17,6 +17,9 @@
 /// Reports of load older than this are not used.
 const REPORT_TTL: Duration = Duration::from_secs(5);
 
+/// Leading blocks of a prompt that decide its home.
+const AFFINITY_BLOCKS: usize = 16;
+
 /// Conversations whose variant is remembered.
 const CONVERSATIONS_MAX: usize = 65_536;
 
@@ -94,6 +97,8 @@
 
 #[derive(Debug)]
 struct ServerState {
+    /// When the prefill that this instance sent it will have been done.
+    backlog_until: Duration,
     down_until: Duration,
     failures_in_a_row: u32,
     leaving: SmallVec<[LeavingSource; 2]>,
@@ -108,6 +113,7 @@
 impl ServerState {
     fn new(row: Arc<BackendServer>) -> Self {
         Self {
+            backlog_until: Duration::ZERO,
             down_until: Duration::ZERO,
             failures_in_a_row: 0,
             leaving: SmallVec::new(),
@@ -484,6 +490,7 @@
         tried: &[ServerName],
     ) -> Result<Placement> {
         let is_suspect = self.quarantine.is_suspect(ask.content_hash);
+        let affinity = self.affinity_key(ask);
         let mut candidates: SmallVec<[Candidate; 16]> = SmallVec::new();
         for (index, state) in self.servers.iter().enumerate() {
             if !state.is_live(now) || !serves(state, variant, tried) {
@@ -492,16 +499,19 @@
             if is_suspect && state.suspects_here > 0 {
                 continue;
             }
+            let backlog = state.backlog_until.saturating_sub(now);
             candidates.push(Candidate {
+                backlog_ms: backlog.as_secs_f64() * 1_000.0,
                 cached_blocks: state.prefixes.cached_blocks(&ask.prefixes),
                 index,
                 price_cents_per_hour: state.row.price_cents_per_hour,
+                rank: xxh3_64_with_seed(state.row.name.as_bytes(), affinity),
                 remote: state.row.data_centre != self.data_centre,
                 requests: state.requests(now),
                 slots: state.row.slots,
             });
         }
-        let choice = place(&candidates, ask.prompt_blocks, self.rng.random());
+        let choice = place(&candidates, ask.prompt_blocks);
         log_decision(ask, variant, &candidates, &self.servers, choice);
         let Some(choice) = choice else {
             return Err(Error::Overloaded {
@@ -521,6 +531,8 @@
             state.suspects_here += 1;
         }
         state.prefixes.record(now, &ask.prefixes);
+        let prefill = Duration::from_secs_f64(prefill_ms(ask.prompt_blocks, cached_blocks) / 1e3);
+        state.backlog_until = state.backlog_until.max(now) + prefill;
         Ok(Placement {
             cached_blocks,
             server: state.row.clone(),
@@ -529,6 +541,16 @@
         })
     }
 
+    /// Key of the prompt's home: the hash of its first blocks, or a draw for prompts without one,
+    /// which then spread evenly.
+    fn affinity_key(&mut self, ask: &Ask) -> u64 {
+        let blocks = ask.prefixes.len().min(AFFINITY_BLOCKS);
+        match blocks {
+            0 => self.rng.random(),
+            _ => ask.prefixes[blocks - 1],
+        }
+    }
+
     fn no_server(&self, ask: &Ask) -> Error {
         Error::NoServer {
             subject: ask.subject.clone(),
@@ -564,7 +586,7 @@
     let mut listed = String::new();
     for candidate in candidates.iter().take(LOGGED_CANDIDATES) {
         let name = &servers[candidate.index].row.name;
-        let score = candidate.score_ms(ask.prompt_blocks);
+        let score = candidate.score_ms(ask.prompt_blocks, false);
         let _ = write!(
             listed,
             "{name}:{score:.0}ms:{}req:{}cached ",
