Join through contacts of other data centres while alone

Ruled out: a lost message (the join was refused three times, as it must be). Change: while alone, contacts are asked too, and a raised epoch joins at once.

--- a/src/members.rs
+++ b/src/members.rs
@@ -447,11 +447,14 @@
         self.ask_seed(self.seeds[turn], sends);
     }
 
-    /// Asks to join through a seed that is not known already.
+    /// Asks to join through a seed that is not known already. While this instance has met nobody
+    /// of its data centre, contacts of others are asked too: they know whom to join.
     fn ask_seed(&self, seed: SocketAddr, sends: &mut MemberSends) {
+        let is_alone = self.live().next().is_none();
         let is_member = self.live().any(|member| member.peer_address == seed);
         let mut contacts = self.centres().flat_map(|summary| &summary.contacts);
-        if is_member || contacts.any(|contact| contact.peer_address == seed) {
+        let is_contact = contacts.any(|contact| contact.peer_address == seed);
+        if is_member || (is_contact && !is_alone) {
             return;
         }
         sends.push(MemberSend {
@@ -801,6 +804,8 @@
             return;
         }
         self.own.epoch = told.epoch + 1;
+        // Those who refused the old epoch may know this instance only now.
+        self.join_at = now;
         info!(
             "member instance={} takes epoch {}",
             self.own.instance, self.own.epoch
