Wake the claim actor only for work

Ruled out: beats and polls, a few messages a second. Change: the batch window and the timeout are timers of the records that wait.

--- a/src/claim_actor.rs
+++ b/src/claim_actor.rs
@@ -5,9 +5,6 @@
 /// Pause after a failed read or append.
 const LOG_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Interval at which batches and timeouts are looked at.
-const TICK: Duration = Duration::from_millis(2);
-
 /// Asks for a record to be ordered by the log of its partition.
 #[derive(Message)]
 #[rtype(result = "Verdict")]
@@ -139,6 +136,13 @@
         }
     }
 
+    /// Looks for a batch once the batch window is over. An idle actor is not woken.
+    fn append_later(&self, context: &mut actix::Context<Self>) {
+        context.run_later(self.settings.claim_batch, |actor, context| {
+            actor.append_due(context)
+        });
+    }
+
     fn expire(&mut self) {
         let now = self.now();
         let mut expired = Vec::new();
@@ -155,13 +159,6 @@
 
 impl Actor for ClaimActor {
     type Context = actix::Context<Self>;
-
-    fn started(&mut self, context: &mut Self::Context) {
-        context.run_interval(TICK, |actor, context| {
-            actor.append_due(context);
-            actor.expire();
-        });
-    }
 }
 
 impl Handler<OrderRecord> for ClaimActor {
@@ -180,6 +177,8 @@
         if let Some(verdict) = settled {
             return Box::pin(std::future::ready(verdict));
         }
+        self.append_later(context);
+        context.run_later(CLAIM_TIMEOUT, |actor, _| actor.expire());
         let (asker, answer) = oneshot::channel();
         self.askers.insert(ticket, asker);
         Box::pin(async move { answer.await.unwrap_or(Verdict::Unavailable) })
@@ -212,6 +211,7 @@
             gatherer.set_caught_up();
         }
         self.answer(answers);
+        self.append_due(context);
         self.read_on(partition, context);
     }
 }
@@ -225,5 +225,6 @@
             gatherer.append_ended(now, message.succeeded);
         }
         self.append_due(context);
+        self.append_later(context);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -99,6 +99,7 @@
 use crate::finish::error_response;
 use crate::finish::log_whole;
 use crate::finish::response;
+use crate::gather::CLAIM_TIMEOUT;
 use crate::gather::Gatherer;
 use crate::gather::Ticket;
 use crate::gather::TicketAnswer;
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -111,7 +111,7 @@
             .finish();
     }
     if request.method() == actix_web::http::Method::GET {
-        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        pause(delay_ms).await;
         return HttpResponse::Ok()
             .insert_header(("x-served-by", service.name.as_str()))
             .json(serde_json::json!({
@@ -122,7 +122,7 @@
     let Some((answer, is_lost)) = run(&service, &request, &body) else {
         return HttpResponse::Conflict().body("old fencing number");
     };
-    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    pause(delay_ms).await;
     if is_lost {
         return cut_connection();
     }
@@ -131,6 +131,13 @@
         .json(answer)
 }
 
+/// Waits for a run's time; a timer would cost a millisecond even for none.
+async fn pause(delay_ms: u64) {
+    if delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    }
+}
+
 /// Runs a call and counts it; `None` if its fencing number is old. Tells too if its answer is to
 /// be lost.
 fn run(
