Tell load in one short note an interval

Ruled out: fewer pollers than two a server (one death would leave it unseen). Change: one note an interval with hashes of names; above ten members the interval is 2 s.

--- a/src/peer_actor.rs
+++ b/src/peer_actor.rs
@@ -100,12 +100,21 @@
 
 /// Asks which of the servers this instance polls.
 #[derive(Message)]
-#[rtype(result = "Vec<ServerName>")]
+#[rtype(result = "PolledServers")]
 pub struct AskPolled(
     /// Names of all servers of the data centre.
     pub Vec<ServerName>,
 );
 
+/// Servers that fall to this instance.
+#[derive(Debug, Default)]
+pub struct PolledServers {
+    /// Live members of the data centre.
+    pub members: usize,
+    /// Names.
+    pub servers: Vec<ServerName>,
+}
+
 /// Membership as this instance sees it.
 #[derive(Debug, Clone, Serialize)]
 pub struct MembershipStatus {
@@ -219,13 +228,21 @@
     }
 
     fn take_loads(&self, note: wire::LoadNote) {
+        let Some(context) = &self.context else {
+            return;
+        };
+        let in_force = context.table.load();
         for load in note.loads {
+            let mut servers = in_force.table.servers.iter();
+            let Some(row) = servers.find(|row| server_hash(&row.name) == load.server_hash) else {
+                continue;
+            };
             self.router.do_send(ReportLoad {
                 report: LoadReport {
                     queued: load.queued,
                     running: load.running,
                 },
-                server: load.server.into(),
+                server: row.name.clone(),
             });
         }
     }
@@ -390,6 +407,12 @@
     format!("claims-{partition}")
 }
 
+/// Short name of a server in load notes. Two servers with one hash share their loads, which costs a
+/// less good placement and nothing else.
+fn server_hash(server: &ServerName) -> u32 {
+    xxh3_64(server.as_bytes()) as u32
+}
+
 fn leaving_source(wire_source: u32) -> LeavingSource {
     match wire_source {
         1 => LeavingSource::InstanceList,
@@ -467,7 +490,7 @@
                 let mut note = wire::LoadNote::default();
                 for (server, report) in loads {
                     note.loads.push(wire::ServerLoad {
-                        server: server.to_string(),
+                        server_hash: server_hash(&server),
                         running: report.running,
                         queued: report.queued,
                     });
@@ -590,11 +613,14 @@
 }
 
 impl Handler<AskPolled> for PeerActor {
-    type Result = Vec<ServerName>;
+    type Result = MessageResult<AskPolled>;
 
     fn handle(&mut self, message: AskPolled, _: &mut Self::Context) -> Self::Result {
-        let mut polled = message.0;
-        polled.retain(|server| self.members.is_home(server, POLLERS));
-        polled
+        let mut servers = message.0;
+        servers.retain(|server| self.members.is_home(server, POLLERS));
+        MessageResult(PolledServers {
+            members: 1 + self.members.live().count(),
+            servers,
+        })
     }
 }
--- a/src/poller.rs
+++ b/src/poller.rs
@@ -2,9 +2,14 @@
 
 use super::*;
 
+use std::rc::Rc;
+
 /// Interval between polls of one source.
 const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Members of a data centre up to which load is polled at every interval.
+const SMALL_DATA_CENTRE: usize = 10;
+
 /// Time for one poll.
 const POLL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -35,13 +40,11 @@
     actix_rt::spawn(async move { poll_notice(notice_context).await });
 }
 
-/// Polls the backend servers that fall to this instance once an interval, each in a task of its
-/// own so that a slow one does not hold up the others, and tells the data centre of their load.
+/// Polls the backend servers that fall to this instance once an interval and tells the data centre
+/// of their load in one note.
 async fn poll_servers(context: Arc<Context>) {
-    let dispatcher = std::rc::Rc::new(Dispatcher::new());
-    let mut interval = tokio::time::interval(POLL_INTERVAL);
+    let dispatcher = Rc::new(Dispatcher::new());
     while !context.shutdown.is_cancelled() {
-        interval.tick().await;
         let in_force = context.table.load_full();
         let names = in_force
             .table
@@ -54,29 +57,50 @@
             .send(AskPolled(names))
             .await
             .unwrap_or_default();
+        tokio::time::sleep(poll_interval(polled.members)).await;
+        let mut polls = Vec::new();
         for server in &in_force.table.servers {
-            if !polled.contains(&server.name) {
+            if !polled.servers.contains(&server.name) {
                 continue;
             }
-            let context = context.clone();
-            let dispatcher = dispatcher.clone();
+            let (context, dispatcher) = (context.clone(), dispatcher.clone());
             let name = server.name.clone();
             let url = format!("http://{}/load", server.address);
-            actix_rt::spawn(async move { poll_server(&context, &dispatcher, name, &url).await });
+            polls.push(actix_rt::spawn(async move {
+                poll_server(&context, &dispatcher, name, &url).await
+            }));
+        }
+        let mut loads = Vec::new();
+        for poll in polls {
+            loads.extend(poll.await.ok().flatten());
+        }
+        if !loads.is_empty() {
+            context.peers.do_send(Announce::Loads(loads));
         }
     }
 }
 
-async fn poll_server(context: &Context, dispatcher: &Dispatcher, server: ServerName, url: &str) {
+/// Notes go to every member, so a large data centre sends them less often.
+fn poll_interval(members: usize) -> Duration {
+    match members <= SMALL_DATA_CENTRE {
+        true => POLL_INTERVAL,
+        false => POLL_INTERVAL * 2,
+    }
+}
+
+async fn poll_server(
+    context: &Context,
+    dispatcher: &Dispatcher,
+    server: ServerName,
+    url: &str,
+) -> Option<(ServerName, LoadReport)> {
     let Ok((200, body)) = dispatcher.fetch(url, POLL_TIMEOUT).await else {
-        return;
+        return None;
     };
     context
         .metrics
         .control("load_report", "received", body.len());
-    let Ok(load) = serde_json::from_slice::<LoadBody>(&body) else {
-        return;
-    };
+    let load: LoadBody = serde_json::from_slice(&body).ok()?;
     let report = LoadReport {
         queued: load.queued,
         running: load.running,
@@ -85,16 +109,13 @@
         report,
         server: server.clone(),
     });
-    let source = LeavingSource::Server;
-    context
-        .peers
-        .do_send(Announce::Loads(vec![(server.clone(), report)]));
     context.router.do_send(SetLeaving {
         is_own_word: true,
         leaving: load.leaving,
-        server,
-        source,
+        server: server.clone(),
+        source: LeavingSource::Server,
     });
+    Some((server, report))
 }
 
 /// A notice that this instance will be reclaimed.
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -500,10 +500,11 @@
     #[prost(string, tag = "3")]
     pub server: ::prost::alloc::string::String,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServerLoad {
-    #[prost(string, tag = "1")]
-    pub server: ::prost::alloc::string::String,
+    /// First half of the name's hash: names would make up most of the control traffic.
+    #[prost(fixed32, tag = "1")]
+    pub server_hash: u32,
     #[prost(uint32, tag = "2")]
     pub running: u32,
     #[prost(uint32, tag = "3")]
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -107,6 +107,7 @@
     orders: Vec<Value>,
     prompt_tokens: u64,
     queue: BTreeMap<u8, VecDeque<oneshot::Sender<Slot>>>,
+    refused: u64,
     requests: u64,
     running: usize,
 }
@@ -164,11 +165,24 @@
         self.lock().requests
     }
 
+    /// Requests refused because the engine is leaving.
+    pub fn refused(&self) -> u64 {
+        self.lock().refused
+    }
+
     /// Requests that run now.
     pub fn running(&self) -> usize {
         self.lock().running
     }
 
+    /// True, and counted, if the engine is leaving.
+    fn refuses(&self) -> bool {
+        let mut state = self.lock();
+        let is_leaving = state.leaving_until.is_some();
+        state.refused += u64::from(is_leaving);
+        is_leaving
+    }
+
     /// Announces the end of this engine.
     pub fn reclaim(&self, notice: Duration) {
         self.lock().leaving_until = Some(Instant::now() + notice);
@@ -342,7 +356,7 @@
     request: HttpRequest,
     body: web::Json<ChatBody>,
 ) -> HttpResponse {
-    if engine.lock().leaving_until.is_some() {
+    if engine.refuses() {
         return HttpResponse::ServiceUnavailable()
             .insert_header(("x-leaving", "1"))
             .finish();
