--- a/bench/src/members.rs
+++ b/bench/src/members.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use ebonyspread::members::Member;
-use ebonyspread::members::MemberSends;
+use ebonyspread::member::Member;
+use ebonyspread::member::MemberSends;
 use ebonyspread::members::Members;
 use ebonyspread::members::TICK_INTERVAL;
 use ebonyspread::peer_codec::frame_kind;
--- a/soak/src/members.rs
+++ b/soak/src/members.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ebonyspread::members::Member;
-use ebonyspread::members::MemberMessage;
+use ebonyspread::member::Member;
+use ebonyspread::member::MemberMessage;
 use ebonyspread::members::Members;
 use ebonyspread::members::TICK_INTERVAL;
 use rand::RngExt;
@@ -202,7 +202,7 @@
             .saturating_sub(self.nodes[node].started_at)
     }
 
-    fn send(&mut self, from: usize, sends: ebonyspread::members::MemberSends) {
+    fn send(&mut self, from: usize, sends: ebonyspread::member::MemberSends) {
         for send in sends {
             let Some(to) = self.by_address.get(&send.to).copied() else {
                 continue;
--- a/src/members.rs
+++ b/src/members.rs
@@ -19,9 +19,6 @@
 /// Monitors of a member.
 pub const MONITORS: usize = 3;
 
-/// Relays of a data centre.
-pub const RELAYS: usize = 2;
-
 /// A member not heard of for this long is asked about.
 const ASK_AFTER: Duration = Duration::from_millis(1_750);
 
@@ -31,12 +28,6 @@
 /// Latency that is forgiven in each sign of life; it also makes good clocks that drift.
 const LATENCY_SLACK: Duration = Duration::from_millis(250);
 
-/// Interval of summaries to other data centres.
-const SUMMARY_INTERVAL: Duration = Duration::from_secs(4);
-
-/// A data centre without a summary for this long counts as cut off.
-const CENTRE_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Least time between two directories to the same member.
 const DIRECTORY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -53,126 +44,14 @@
 /// Dead members are forgotten after this long.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
-/// Contacts named in a summary.
-const CONTACTS: usize = 3;
-
-/// Number of a process's life; the higher one is the later.
-pub type Epoch = u64;
-
-/// An entry instance as its peers know it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Member {
-    /// Data centre.
-    pub data_centre: DataCentreName,
-    /// True if it was found dead in this epoch.
-    pub dead: bool,
-    /// Life.
-    pub epoch: Epoch,
-    /// Name.
-    pub instance: InstanceName,
-    /// True while it stops.
-    pub leaving: bool,
-    /// Address of its peers' listener.
-    pub peer_address: SocketAddr,
-}
-
-impl Member {
-    /// Order of news about one member: a later life beats an earlier one, and within a life
-    /// death beats leaving, which beats being live.
-    fn news(&self) -> (Epoch, bool, bool) {
-        (self.epoch, self.dead, self.leaving)
-    }
-}
-
-/// Summary of another data centre.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CentreSummary {
-    /// Some of its members, relays first.
-    pub contacts: Vec<Member>,
-    /// True if the relays hear nothing of it. Only within a data centre.
-    pub cut_off: bool,
-    /// Its name.
-    pub data_centre: DataCentreName,
-    /// Member that made the summary.
-    pub from: InstanceName,
-    /// Its live members.
-    pub live_count: u32,
-    /// The relays' count of changes to what they know of it. Only within a data centre.
-    pub revision: u64,
-    /// Grows with every summary of the same member.
-    pub sequence: u64,
-    /// Newest table version there.
-    pub table_version: TableVersion,
-}
-
-/// A message between members.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum MemberMessage {
-    /// Heartbeat to a monitor.
-    Beat {
-        /// Hash of the sender's directory.
-        directory_hash: u64,
-        /// Sender's life.
-        epoch: Epoch,
-        /// Sender.
-        instance: InstanceName,
-        /// Sender's table version.
-        table_version: TableVersion,
-        /// Time since the sender's start, by its own clock.
-        uptime: Duration,
-    },
-    /// Everything the sender knows.
-    Directory {
-        /// Other data centres.
-        centres: Vec<CentreSummary>,
-        /// Members of the sender's data centre.
-        members: Vec<Member>,
-    },
-    /// News of one member.
-    Note(Member),
-    /// Summary of the sender's data centre, or, within a data centre, of another one.
-    Summary(CentreSummary),
-    /// The member was heard of.
-    Vouch {
-        /// Its life.
-        epoch: Epoch,
-        /// The member.
-        instance: InstanceName,
-        /// Question that this answers.
-        question: u64,
-        /// Its uptime in the last beat that the sender knows.
-        uptime: Duration,
-    },
-    /// Is the member alive?
-    VouchRequest {
-        /// Where the answer goes.
-        asker: SocketAddr,
-        /// The member.
-        instance: InstanceName,
-        /// Number of the question.
-        question: u64,
-    },
-}
-
-/// A message to send.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MemberSend {
-    /// What.
-    pub message: MemberMessage,
-    /// Where to.
-    pub to: SocketAddr,
-}
-
-/// Messages to send.
-pub type MemberSends = Vec<MemberSend>;
-
+/// A member as this instance knows it.
 #[derive(Debug)]
-struct KnownMember {
-    asked_at: Option<Duration>,
-    directory_sent_at: Option<Duration>,
-    heard_at: Duration,
-    heard_uptime: Duration,
-    member: Member,
+pub(crate) struct KnownMember {
+    pub(crate) asked_at: Option<Duration>,
+    pub(crate) directory_sent_at: Option<Duration>,
+    pub(crate) heard_at: Duration,
+    pub(crate) heard_uptime: Duration,
+    pub(crate) member: Member,
 }
 
 impl KnownMember {
@@ -191,42 +70,21 @@
     }
 }
 
-#[derive(Debug)]
-struct KnownCentre {
-    heard_at: Duration,
-    summary: CentreSummary,
-}
-
-impl KnownCentre {
-    /// True if a summary says something that members have to hear of.
-    fn differs(&self, summary: &CentreSummary) -> bool {
-        let names = |summary: &CentreSummary| -> Vec<(InstanceName, Epoch)> {
-            let contacts = summary.contacts.iter();
-            contacts
-                .map(|contact| (contact.instance.clone(), contact.epoch))
-                .collect()
-        };
-        self.summary.cut_off
-            || self.summary.live_count != summary.live_count
-            || names(&self.summary) != names(summary)
-    }
-}
-
 /// What one instance knows of all.
 #[derive(Debug)]
 pub struct Members {
-    beat_at: Duration,
-    centres: BTreeMap<DataCentreName, KnownCentre>,
-    join_at: Duration,
-    join_tries: u32,
-    known: BTreeMap<InstanceName, KnownMember>,
-    own: Member,
-    seeds: Vec<SocketAddr>,
-    summary_at: Duration,
-    tell_own_at: Duration,
-    was_relay: bool,
-    summary_sequence: u64,
-    table_version: TableVersion,
+    pub(crate) beat_at: Duration,
+    pub(crate) centres: BTreeMap<DataCentreName, KnownCentre>,
+    pub(crate) join_at: Duration,
+    pub(crate) join_tries: u32,
+    pub(crate) known: BTreeMap<InstanceName, KnownMember>,
+    pub(crate) own: Member,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) summary_at: Duration,
+    pub(crate) tell_own_at: Duration,
+    pub(crate) was_relay: bool,
+    pub(crate) summary_sequence: u64,
+    pub(crate) table_version: TableVersion,
 }
 
 impl Members {
@@ -566,60 +424,6 @@
         }
     }
 
-    fn summarize_if_due(&mut self, now: Duration, sends: &mut MemberSends) {
-        if now < self.summary_at {
-            return;
-        }
-        self.summary_at = now + SUMMARY_INTERVAL;
-        if !self.is_relay() {
-            return;
-        }
-        self.summary_sequence += 1;
-        let summary = self.own_summary();
-        let mut targets: Vec<SocketAddr> = Vec::new();
-        for known in self.centres.values() {
-            // The relays come first among contacts; the second is told in turn with the first.
-            let turn = self.summary_sequence as usize % RELAYS;
-            let contacts = &known.summary.contacts;
-            if let Some(contact) = contacts.get(turn).or(contacts.first()) {
-                targets.push(contact.peer_address);
-            }
-        }
-        for to in targets {
-            sends.push(MemberSend {
-                message: MemberMessage::Summary(summary.clone()),
-                to,
-            });
-        }
-    }
-
-    /// Relays are the first members of the ring.
-    fn is_relay(&self) -> bool {
-        let own = ring_place(&self.own.instance);
-        let before = self
-            .staying()
-            .filter(|member| ring_place(&member.instance) < own)
-            .count();
-        before < RELAYS
-    }
-
-    /// Summary of this data centre.
-    pub fn own_summary(&self) -> CentreSummary {
-        let mut contacts: Vec<Member> = self.staying().cloned().collect();
-        contacts.sort_by_key(|member| ring_place(&member.instance));
-        contacts.truncate(CONTACTS);
-        CentreSummary {
-            contacts,
-            cut_off: false,
-            data_centre: self.own.data_centre.clone(),
-            from: self.own.instance.clone(),
-            live_count: 1 + self.live().count() as u32,
-            revision: 0,
-            sequence: self.summary_sequence,
-            table_version: self.table_version,
-        }
-    }
-
     fn forget(&mut self, now: Duration) {
         self.known.retain(|_, known| {
             !known.member.dead || now.saturating_sub(known.heard_at) < FORGET_AFTER
@@ -753,43 +557,6 @@
         }
     }
 
-    /// A member of another data centre that asks to join meets this data centre by its summary.
-    fn receive_foreign(&mut self, now: Duration, member: Member, sends: &mut MemberSends) {
-        if member.dead || member.leaving {
-            return;
-        }
-        let to = member.peer_address;
-        let reachable = self
-            .centres()
-            .find(|known| known.data_centre == member.data_centre);
-        if let Some(known) = reachable {
-            // The member may have met nobody of its own data centre yet.
-            sends.push(MemberSend {
-                message: MemberMessage::Summary(CentreSummary {
-                    revision: 0,
-                    ..known.clone()
-                }),
-                to,
-            });
-        } else {
-            let summary = CentreSummary {
-                contacts: vec![member.clone()],
-                cut_off: false,
-                data_centre: member.data_centre,
-                from: member.instance,
-                live_count: 1,
-                revision: 0,
-                sequence: 0,
-                table_version: 0,
-            };
-            self.receive_summary(now, summary, sends);
-        }
-        sends.push(MemberSend {
-            message: MemberMessage::Summary(self.own_summary()),
-            to,
-        });
-    }
-
     /// News of this instance: an equal or later life than its own, or its death, is not true.
     fn refute(&mut self, now: Duration, told: &Member, sends: &mut MemberSends) {
         if told.epoch == self.own.epoch && !told.dead {
@@ -813,117 +580,6 @@
         self.broadcast(&self.own, sends);
     }
 
-    /// Joins the members of this data centre that another one knows and this instance does not.
-    fn join_through(&self, summary: &CentreSummary, sends: &mut MemberSends) {
-        for contact in &summary.contacts {
-            let is_own = contact.instance == self.own.instance;
-            if is_own || self.known.contains_key(&contact.instance) {
-                continue;
-            }
-            sends.push(MemberSend {
-                message: MemberMessage::Note(self.own.clone()),
-                to: contact.peer_address,
-            });
-        }
-    }
-
-    /// Takes a summary from another data centre. Relays keep the time; the others pass it to them.
-    fn receive_summary(&mut self, now: Duration, summary: CentreSummary, sends: &mut MemberSends) {
-        let is_new = !self.centres.contains_key(&summary.data_centre);
-        if !self.is_relay() && !is_new {
-            self.pass_to_relays(&summary, sends);
-            return;
-        }
-        let known = self.centres.get_mut(&summary.data_centre);
-        let (revision, is_news) = match &known {
-            Some(known) => {
-                // Two relays take turns; within one of them an older summary changes nothing, but
-                // a new life of it counts from 0 again.
-                let is_older = summary.from == known.summary.from
-                    && summary.sequence <= known.summary.sequence
-                    && now.saturating_sub(known.heard_at) < CENTRE_TIMEOUT;
-                if is_older {
-                    return;
-                }
-                (known.summary.revision, known.differs(&summary))
-            }
-            None => (0, true),
-        };
-        let revision = revision + u64::from(is_news);
-        let summary = CentreSummary {
-            revision,
-            ..summary
-        };
-        if is_news {
-            self.tell_here(&summary, sends);
-        }
-        let name = summary.data_centre.clone();
-        let heard_at = now;
-        self.centres.insert(name, KnownCentre { heard_at, summary });
-    }
-
-    /// Takes what a relay of this data centre knows of another one.
-    fn receive_inner_summary(&mut self, now: Duration, summary: CentreSummary) {
-        if summary.data_centre == self.own.data_centre {
-            return;
-        }
-        let known = self.centres.get(&summary.data_centre);
-        let order = |summary: &CentreSummary| (summary.revision, summary.from.clone());
-        if known.is_some_and(|known| order(&summary) <= order(&known.summary)) {
-            return;
-        }
-        let heard_at = known.map_or(now, |known| known.heard_at);
-        let name = summary.data_centre.clone();
-        self.centres.insert(name, KnownCentre { heard_at, summary });
-    }
-
-    fn pass_to_relays(&self, summary: &CentreSummary, sends: &mut MemberSends) {
-        let mut relays: Vec<&Member> = self.staying().collect();
-        relays.sort_by_key(|member| ring_place(&member.instance));
-        for relay in relays.into_iter().take(RELAYS) {
-            sends.push(MemberSend {
-                message: MemberMessage::Summary(summary.clone()),
-                to: relay.peer_address,
-            });
-        }
-    }
-
-    fn tell_here(&self, summary: &CentreSummary, sends: &mut MemberSends) {
-        for member in self.live() {
-            sends.push(MemberSend {
-                message: MemberMessage::Summary(summary.clone()),
-                to: member.peer_address,
-            });
-        }
-    }
-
-    /// As a relay, notices data centres that have fallen silent and tells the members.
-    fn watch_centres(&mut self, now: Duration, sends: &mut MemberSends) {
-        let is_relay = self.is_relay();
-        let is_new_relay = is_relay && !self.was_relay;
-        self.was_relay = is_relay;
-        if !is_relay {
-            return;
-        }
-        let mut silent = Vec::new();
-        for known in self.centres.values_mut() {
-            if is_new_relay {
-                known.heard_at = now;
-            }
-            let is_silent = now.saturating_sub(known.heard_at) >= CENTRE_TIMEOUT;
-            if !is_silent || known.summary.cut_off {
-                continue;
-            }
-            known.summary.cut_off = true;
-            known.summary.revision += 1;
-            silent.push(known.summary.clone());
-        }
-        for summary in silent {
-            warn!("data centre {} is cut off", summary.data_centre);
-            self.tell_here(&summary, sends);
-        }
-    }
-
     fn receive_vouch(
         &mut self,
         now: Duration,
@@ -995,6 +651,6 @@
     xxh3_64_with_seed(name.as_bytes(), xxh3_64(of.as_bytes()))
 }
 
-fn ring_place(instance: &str) -> u64 {
+pub(crate) fn ring_place(instance: &str) -> u64 {
     xxh3_64(instance.as_bytes())
 }
