Greet the addresses of the dead while their data centre may be cut off

Ruled out: lost messages (none was sent between the two). Change: relays greet dead members' addresses with each beat for the minute in which the dead are remembered.

--- a/src/members.rs
+++ b/src/members.rs
@@ -192,7 +192,9 @@
     pub fn tick(&mut self, now: Duration) -> MemberSends {
         let mut sends = MemberSends::new();
         self.join_if_due(now, &mut sends);
-        self.beat_if_due(now, &mut sends);
+        if self.beat_if_due(now, &mut sends) {
+            self.greet_dead(&mut sends);
+        }
         self.watch(now, &mut sends);
         self.summarize_if_due(now, &mut sends);
         self.watch_centres(now, &mut sends);
@@ -321,10 +323,25 @@
         });
     }
 
-    fn beat_if_due(&mut self, now: Duration, sends: &mut MemberSends) {
-        if now < self.beat_at {
+    /// As a relay, greets the addresses of the dead: an instance that is started there again may
+    /// reach none of its seeds, if its data centre is cut off.
+    fn greet_dead(&self, sends: &mut MemberSends) {
+        if !self.is_relay() {
             return;
         }
+        for known in self.known.values().filter(|known| known.member.dead) {
+            sends.push(MemberSend {
+                message: MemberMessage::Note(self.own.clone()),
+                to: known.member.peer_address,
+            });
+        }
+    }
+
+    /// Beats to the monitors. Returns false if it is not yet time to.
+    fn beat_if_due(&mut self, now: Duration, sends: &mut MemberSends) -> bool {
+        if now < self.beat_at {
+            return false;
+        }
         self.beat_at = now + BEAT_INTERVAL;
         let directory_hash = self.directory_hash();
         for monitor in self.monitors_of(&self.own.instance) {
@@ -339,6 +356,7 @@
                 to: monitor.peer_address,
             });
         }
+        true
     }
 
     /// Monitors of a member: the next live members after it on the ring.
