Stop the stand-ins within a second

Cause: scripts/demo took up to half a minute to stop, because the platform stand-in waited for the entries' long polls. Change: their servers wait a second at most. Before: seen running 20 s after the demo's stop. Conclusion: a convenience; no product code is touched.

--- a/standins/src/bin/standin-engine.rs
+++ b/standins/src/bin/standin-engine.rs
@@ -45,6 +45,7 @@
     actix_web::rt::System::new().block_on(async move {
         HttpServer::new(move || App::new().configure(|config| engine.configure(config)))
             .workers(1)
+            .shutdown_timeout(1)
             .bind(flags.listen)?
             .run()
             .await
--- a/standins/src/bin/standin-platform.rs
+++ b/standins/src/bin/standin-platform.rs
@@ -21,6 +21,7 @@
     actix_web::rt::System::new().block_on(async move {
         HttpServer::new(move || App::new().configure(|config| platform.configure(config)))
             .workers(1)
+            .shutdown_timeout(1)
             .bind(flags.listen)?
             .run()
             .await
