Give hand-over tests streams that outlast the notice's poll

Cause: a notice is polled every second, and the test's stream took 0.7 s, so that the verdict hung on when the poll fell; and a foreign event id fits another account's own answer when both begin with the same word. Ruled out: a leak (the account is sent its own text from the second token). Change: the prompt with the longest answer, at 30 ms a token (2.7 s); the other account's prompt is one whose answer begins differently. No check is changed. Before: passing by chance of timing. Conclusion: the verdict no longer depends on timing within a second.

--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -14,11 +14,21 @@
 use futures_util::StreamExt;
 use support::*;
 
-const PROMPT: &str = "a long quote for the ballroom";
 const TOKENS: u32 = 90;
 
+/// A prompt with the longest answer, so that a stream outlasts the interval at which notices are
+/// polled several times over.
+fn prompt() -> String {
+    let prompts = (0..).map(|number| format!("a long quote for ballroom {number}"));
+    let is_long = |prompt: &String| {
+        let words = expected_text(prompt, TOKENS);
+        words.split_whitespace().count() as u32 == TOKENS
+    };
+    prompts.into_iter().find(is_long).unwrap_or_default()
+}
+
 fn slow_bench() -> BenchBuilder {
-    BenchBuilder::default().token_interval(Duration::from_millis(15))
+    BenchBuilder::default().token_interval(Duration::from_millis(30))
 }
 
 type BodyStream = Pin<Box<dyn Stream<Item = Result<Bytes, PayloadError>>>>;
@@ -33,7 +43,7 @@
         request = request.insert_header((*name, value.as_str()));
     }
     let mut response = request
-        .send_body(chat_body(PROMPT, true, TOKENS))
+        .send_body(chat_body(&prompt(), true, TOKENS))
         .await
         .unwrap();
     let first = response.next().await.unwrap().unwrap();
@@ -69,7 +79,7 @@
     });
     let (text, _, is_done) = read_stream(&body);
     assert!(is_done);
-    assert_eq!(text, expected_text(PROMPT, TOKENS));
+    assert_eq!(text, expected_text(&prompt(), TOKENS));
 }
 
 #[test]
@@ -96,7 +106,7 @@
     });
     let (text, _, is_done) = read_stream(&body);
     assert!(is_done);
-    assert_eq!(text, expected_text(PROMPT, TOKENS));
+    assert_eq!(text, expected_text(&prompt(), TOKENS));
 }
 
 #[yare::parameterized(
@@ -129,11 +139,11 @@
         "POST",
         &bench.url(1, "/v1/chat/completions"),
         &headers,
-        chat_body(PROMPT, true, TOKENS),
+        chat_body(&prompt(), true, TOKENS),
     ));
     let (rest, _, is_done) = read_stream(&rest.body);
     assert!(is_done);
-    assert_eq!(text + &rest, expected_text(PROMPT, TOKENS));
+    assert_eq!(text + &rest, expected_text(&prompt(), TOKENS));
     assert_eq!(
         bench.entries[1].taken_over(),
         1,
@@ -162,11 +172,11 @@
         "POST",
         &bench.url(0, "/v1/chat/completions"),
         &headers,
-        chat_body(PROMPT, true, TOKENS),
+        chat_body(&prompt(), true, TOKENS),
     ));
     let (rest, _, is_done) = read_stream(&rest.body);
     assert!(is_done);
-    assert_eq!(text + &rest, expected_text(PROMPT, TOKENS));
+    assert_eq!(text + &rest, expected_text(&prompt(), TOKENS));
 }
 
 #[test]
@@ -180,7 +190,7 @@
     });
     let (text, _, is_done) = read_stream(&body);
     assert!(is_done);
-    assert_eq!(text, expected_text(PROMPT, TOKENS));
+    assert_eq!(text, expected_text(&prompt(), TOKENS));
 }
 
 #[test]
@@ -193,13 +203,13 @@
     ];
     let (first, second) = block_on(async {
         let (first, response) = open_stream(&url, &headers).await;
-        let second = send("POST", &url, &headers, chat_body(PROMPT, true, TOKENS)).await;
+        let second = send("POST", &url, &headers, chat_body(&prompt(), true, TOKENS)).await;
         (read_on(first, response).await, second)
     });
     for body in [first.as_slice(), &second.body] {
         let (text, _, is_done) = read_stream(body);
         assert!(is_done);
-        assert_eq!(text, expected_text(PROMPT, TOKENS));
+        assert_eq!(text, expected_text(&prompt(), TOKENS));
     }
     let requests: u64 = bench
         .engines
@@ -211,19 +221,21 @@
 
 #[test]
 fn event_id_of_another_account_opens_nothing() {
+    // Its own answer begins with another word; if both began alike, the id would fit by chance and
+    // the account would get the rest of its own answer.
+    let first_word = |prompt: &str| expected_text(prompt, 1);
+    let prompts = (0..).map(|number| format!("my own prompt {number}"));
+    let own = prompts
+        .into_iter()
+        .find(|own| first_word(own) != first_word(&prompt()));
+    let own = own.unwrap();
     let bench = slow_bench().start();
     let url = bench.url(0, "/v1/chat/completions");
     let reply = block_on(async {
         let (first, response) = open_stream(&url, &[bearer("quayside")]).await;
         let (_, last_id, _) = read_stream(whole_events(&first));
         let stolen = [bearer("harbour"), ("last-event-id", last_id)];
-        let reply = send(
-            "POST",
-            &url,
-            &stolen,
-            chat_body("my own prompt", true, TOKENS),
-        )
-        .await;
+        let reply = send("POST", &url, &stolen, chat_body(&own, true, TOKENS)).await;
         read_on(first, response).await;
         reply
     });
