--- a/soak/src/members.rs
+++ b/soak/src/members.rs
@@ -16,7 +16,7 @@
 
 const LOSS: f64 = 0.05;
 const DETECT_WITHIN: Duration = Duration::from_secs(3);
-const SETTLE_WITHIN: Duration = Duration::from_secs(90);
+const SETTLE_WITHIN: Duration = Duration::from_secs(30);
 /// Time in which a new member is known to all; faults come after it.
 const START_TIME: Duration = Duration::from_secs(15);
 /// Ticks and messages of a node in a second, several times what it sends at rest.
