--- a/src/error.rs
+++ b/src/error.rs
@@ -214,6 +214,14 @@
     /// No table has reached this instance yet.
     #[snafu(display("no table is in force yet; publish one with `ebonyspread table publish`"))]
     TableMissing,
+    /// It is not known whether the table in force is still the newest one.
+    #[snafu(display(
+        "the table was last known to be the newest {age_ms} ms ago; retry at another instance"
+    ))]
+    TableStale {
+        /// Time since the last proof.
+        age_ms: u64,
+    },
     /// Text is not TOML of the expected shape.
     #[snafu(display("cannot parse {what}: {reason}"))]
     Toml {
@@ -297,6 +305,7 @@
             Self::ResumeMismatch => (409, "resume_mismatch"),
             Self::RetryBudget { .. } => (503, "retry_budget_spent"),
             Self::TableMissing => (503, "table_missing"),
+            Self::TableStale { .. } => (503, "table_stale"),
             Self::UnknownKey => (401, "invalid_api_key"),
             Self::UnknownModel { .. } => (404, "model_not_found"),
             Self::UnknownRoute => (404, "route_not_found"),
@@ -324,7 +333,8 @@
             Self::CallMoved
             | Self::ClaimRunning
             | Self::ClaimUnavailable { .. }
-            | Self::TableMissing => Some(DEFAULT_RETRY_AFTER),
+            | Self::TableMissing
+            | Self::TableStale { .. } => Some(DEFAULT_RETRY_AFTER),
             Self::NotProven { cause } | Self::Released { cause } => cause.retry_after(),
             _ => None,
         }
--- /dev/null
+++ b/src/exchange.rs
@@ -0,0 +1,752 @@
+//! Carries one call: admits it, sends it to backend servers and passes the answer on.
+//!
+//! The way of a call: read, [`policy_book`], [`use_limits`], [`fleet`], [`server_link`], answer.
+//! A call ends as whole, as not run (only where that is proved), or as unknown.
+
+use super::*;
+
+use std::rc::Rc;
+
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::ResponseHead;
+use actix_http::StatusCode;
+use actix_http::body::BodyStream;
+use actix_http::body::BoxBody;
+use actix_http::body::MessageBody;
+use tokio::time::Instant as TokioInstant;
+use tokio::time::timeout_at;
+
+/// Longest answer that is read whole before it is passed on.
+const WHOLE_ANSWER_MAX_BYTES: usize = 16 << 20;
+
+/// Connections that may fail to open before a call is refused; each costs the caller time.
+const CONNECT_FAILURES_MAX: u32 = 3;
+
+/// Time kept for the answer's way back to the caller.
+const WAY_BACK: Duration = Duration::from_millis(10);
+
+/// Time that a repeatable call waits for its answer to begin, in target latencies, before it is
+/// sent to another server.
+const HEAD_PATIENCE_TARGETS: f64 = 1.0;
+
+/// Least patience; shorter would take a busy server for a silent one.
+const HEAD_PATIENCE_MIN: Duration = Duration::from_millis(400);
+
+/// Pause in a resumable stream, in longest on-time pauses, after which it goes on elsewhere.
+const GAP_PATIENCE_TARGETS: f64 = 3.0;
+
+/// Retry time told when the servers refused a call.
+const REFUSED_RETRY: Duration = Duration::from_millis(300);
+
+/// Time that a caller waits if it does not say.
+const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
+
+/// Serves one request of a caller.
+pub async fn serve_call(serving: Rc<Serving>, request: Request) -> Response<BoxBody> {
+    let received_at = TokioInstant::now();
+    let _in_flight = InFlight::new(&serving);
+    let mut request_id = RequestId::default();
+    let accepted = accept(&serving, request, received_at, &mut request_id).await;
+    let mut response = match accepted {
+        Ok(call) => call.run().await,
+        Err(error) => refuse(&serving, &request_id, received_at, &error),
+    };
+    if serving.draining.get() {
+        response
+            .head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
+    }
+    response
+}
+
+/// Counts a call in progress, so that a stop can wait for it.
+struct InFlight {
+    serving: Rc<Serving>,
+}
+
+impl InFlight {
+    fn new(serving: &Rc<Serving>) -> Self {
+        serving.in_flight.set(serving.in_flight.get() + 1);
+        Self {
+            serving: serving.clone(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let count = self.serving.in_flight.get();
+        self.serving.in_flight.set(count - 1);
+    }
+}
+
+/// An accepted call.
+struct Exchange {
+    account: Option<AccountName>,
+    body: Bytes,
+    call: CallHead,
+    connect_failures: u32,
+    /// When the answer is of no use any more.
+    ends_at: TokioInstant,
+    /// True once an attempt may have run.
+    may_have_run: bool,
+    received_at: TokioInstant,
+    route: Arc<PolicyRoute>,
+    sends: u32,
+    service: ServiceName,
+    serving: Rc<Serving>,
+    tried: SmallVec<[ServerName; 4]>,
+    units: f64,
+}
+
+/// One attempt at a server; ends it in the fleet when dropped.
+struct Attempt {
+    end: AttemptEnd,
+    placed: Placed,
+    serving: Rc<Serving>,
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        let mut fleet = self.serving.fleet.borrow_mut();
+        fleet.end_attempt(boot_time(), &self.placed.server, false, self.end);
+    }
+}
+
+/// What came of an attempt.
+enum Attempted {
+    /// No connection was made.
+    NotSent(String),
+    /// The server, or whoever has its address, did not run the call.
+    NotRun(String),
+    /// The attempt may have run, and its answer is lost.
+    Lost(String),
+    /// The caller's time is over.
+    TimedOut,
+    /// The head of an event stream.
+    Stream(Attempt, Box<LinkAnswer>),
+    /// A whole answer.
+    Whole(Attempt, Box<ResponseHead>, Bytes),
+}
+
+async fn accept(
+    serving: &Rc<Serving>,
+    mut request: Request,
+    received_at: TokioInstant,
+    request_id: &mut RequestId,
+) -> Result<Exchange> {
+    let call = serving.dialect.read_call(request.head())?;
+    *request_id = call.request_id.clone();
+    let body = read_body(&mut request, body_bound(serving)).await?;
+    let now = boot_time();
+    let policy = policy_for(serving, now)?;
+    let route = policy
+        .route_for(&call.host, call.uri.path())
+        .ok_or(Error::UnknownRoute)?
+        .clone();
+    let account = match &call.account_key {
+        _ if route.anonymous => None,
+        None => return Err(Error::UnknownKey),
+        Some(key) => Some(policy.account_by_key(key).ok_or(Error::UnknownKey)?),
+    };
+    let time_left = call
+        .time_left
+        .unwrap_or(DEFAULT_TIME_LEFT)
+        .min(route.timeout);
+    let mut units = 0.0;
+    if let Some(account) = account
+        && let Some(limit) = account.limit
+    {
+        let prompt_units = call.prompt.as_ref().map(Prompt::units);
+        units = match prompt_units {
+            Some(units) if limit.in_tokens => units,
+            Some(_) | None => limit.plain_call_units,
+        };
+        serving.limits.borrow_mut().admit(now, account, units)?;
+    }
+    let account = account.map(|account| account.name.clone());
+    let service = pick_service(serving, &route, account.as_ref(), &call)?;
+    Ok(Exchange {
+        account,
+        body,
+        call,
+        connect_failures: 0,
+        ends_at: received_at + time_left,
+        may_have_run: false,
+        received_at,
+        route,
+        sends: 0,
+        service,
+        serving: serving.clone(),
+        tried: SmallVec::new(),
+        units,
+    })
+}
+
+/// The policy, if it is fresh enough to decide about keys and routes.
+fn policy_for(serving: &Serving, now: Duration) -> Result<Arc<Policy>> {
+    serving
+        .book
+        .borrow()
+        .fresh(now, serving.settings.policy_age_max)
+}
+
+fn body_bound(serving: &Serving) -> usize {
+    let book = serving.book.borrow();
+    book.in_force().map_or(0, |policy| policy.body_max_bytes)
+}
+
+async fn read_body(request: &mut Request, limit_bytes: usize) -> Result<Bytes> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| Error::BadRequest {
+            reason: format!("body was cut: {error}; send it again"),
+        })?;
+        if limit_bytes > 0 && body.len() + chunk.len() > limit_bytes {
+            return Err(Error::BodyTooLarge { limit_bytes });
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn pick_service(
+    serving: &Serving,
+    route: &PolicyRoute,
+    account: Option<&AccountName>,
+    call: &CallHead,
+) -> Result<ServiceName> {
+    if let [(service, _)] = route.services.as_slice() {
+        return Ok(service.clone());
+    }
+    let weights: SmallVec<[u32; 4]> = route.services.iter().map(|(_, weight)| *weight).collect();
+    let usable = SmallVec::<[bool; 4]>::from_elem(true, weights.len());
+    let account = account.cloned().unwrap_or_default();
+    let subject = Subject::Route(route.name.clone());
+    let mut shares = serving.shares.borrow_mut();
+    let index = shares.pick(&account, &subject, &weights, &usable, None);
+    match index {
+        Some(index) => Ok(route.services[index].0.clone()),
+        None => Err(Error::NoServer {
+            subject: Subject::Route(call.uri.path().into()),
+            retry_after_ms: REFUSED_RETRY.as_millis() as u64,
+        }),
+    }
+}
+
+impl Exchange {
+    async fn run(mut self) -> Response<BoxBody> {
+        match self.carry(None).await {
+            Ok(Carried::Whole(attempt, head, body)) => {
+                self.log_finish("whole", head.status.as_u16(), &attempt.placed.server);
+                respond(&head, BoxBody::new(body))
+            }
+            Ok(Carried::Stream(attempt, answer)) => {
+                let first_event = self.received_at.elapsed();
+                self.serving.metrics.first_token(first_event);
+                let head = answer.head;
+                let relay = Relay {
+                    _in_flight: InFlight::new(&self.serving),
+                    attempt: Some(attempt),
+                    body: answer.body,
+                    ended: false,
+                    events: SseParser::default(),
+                    exchange: self,
+                    last_event_id: None,
+                };
+                let stream = futures_util::stream::unfold(relay, Relay::next);
+                respond(&head, BodyStream::new(Box::pin(stream)).boxed())
+            }
+            Err(error) => {
+                if error.outcome() == Outcome::NotRun
+                    && let Some(account) = &self.account
+                {
+                    let mut limits = self.serving.limits.borrow_mut();
+                    limits.give_back(account, self.units);
+                }
+                refuse(
+                    &self.serving,
+                    &self.call.request_id,
+                    self.received_at,
+                    &error,
+                )
+            }
+        }
+    }
+
+    /// Sends attempts until one is answered or none is left.
+    async fn carry(&mut self, last_event_id: Option<&str>) -> Result<Carried> {
+        loop {
+            let attempted = self.attempt(last_event_id).await?;
+            match attempted {
+                Attempted::Stream(attempt, answer) => {
+                    return Ok(Carried::Stream(attempt, answer));
+                }
+                Attempted::Whole(attempt, head, body) => {
+                    if self.wants_another(&head) {
+                        if let Some(better) = self.try_for_better(last_event_id).await {
+                            return Ok(better);
+                        }
+                    }
+                    return Ok(Carried::Whole(attempt, head, body));
+                }
+                Attempted::NotSent(reason) => {
+                    self.log_failed("not-sent", &reason);
+                    self.connect_failures += 1;
+                    if self.connect_failures >= CONNECT_FAILURES_MAX {
+                        return Err(self.refused());
+                    }
+                }
+                Attempted::NotRun(reason) => {
+                    self.log_failed("not-run", &reason);
+                    if !self.may_send_again() {
+                        return Err(self.refused());
+                    }
+                }
+                Attempted::Lost(reason) => {
+                    self.log_failed("lost", &reason);
+                    self.may_have_run = true;
+                    let repeatable = self.route.call_kind.is_repeatable();
+                    if !repeatable || !self.may_send_again() {
+                        return Err(self.lost(reason));
+                    }
+                }
+                Attempted::TimedOut => {
+                    self.log_failed("timed-out", "");
+                    return Err(self.timed_out());
+                }
+            }
+        }
+    }
+
+    async fn attempt(&mut self, last_event_id: Option<&str>) -> Result<Attempted> {
+        if TokioInstant::now() + WAY_BACK >= self.ends_at {
+            return Err(self.timed_out());
+        }
+        let placed = self.place()?;
+        let mut attempt = Attempt {
+            end: AttemptEnd::GivenUp,
+            placed,
+            serving: self.serving.clone(),
+        };
+        self.tried.push(attempt.placed.server.clone());
+        let time_left = self.ends_at - TokioInstant::now();
+        let head = self.serving.dialect.write_call(
+            &self.call,
+            AttemptHead {
+                account: self.account.as_ref(),
+                last_event_id,
+                server: &attempt.placed.server,
+                time_left: time_left.saturating_sub(WAY_BACK),
+            },
+        );
+        let dialect = &self.serving.dialect;
+        let owner_of = |head: &ResponseHead| dialect.owner_of(&self.call, head);
+        let sending = self.serving.links.send(LinkCall {
+            body: &self.body,
+            head,
+            owner_of: &owner_of,
+            target: LinkTarget {
+                address: attempt.placed.address,
+                server: attempt.placed.server.clone(),
+            },
+        });
+        let patience = self.patience();
+        let answer = match timeout_at(patience, sending).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => return Ok(self.failed(&mut attempt, error)),
+            Err(_) if patience < self.ends_at => {
+                attempt.end = AttemptEnd::Broken;
+                self.sends += 1;
+                return Ok(Attempted::Lost("no answer in time".to_owned()));
+            }
+            Err(_) => {
+                self.sends += 1;
+                self.may_have_run = true;
+                return Ok(Attempted::TimedOut);
+            }
+        };
+        self.sends += 1;
+        self.take_answer(attempt, answer).await
+    }
+
+    fn place(&mut self) -> Result<Placed> {
+        let now = boot_time();
+        let ask = PlaceAsk {
+            prompt: self.call.prompt.as_ref(),
+            service: &self.service,
+            suspect: false,
+            tried: &self.tried,
+        };
+        let placed = self.serving.fleet.borrow_mut().place(now, ask);
+        let placed = match placed {
+            Ok(placed) => placed,
+            Err(_) if self.may_have_run => return Err(self.lost("no server left".to_owned())),
+            Err(error) => return Err(error),
+        };
+        let account = self.account.clone().unwrap_or_default();
+        if self.sends == 0 && self.connect_failures == 0 {
+            let mut budget = self.serving.budget.borrow_mut();
+            budget.deposit(&account, &self.service);
+        }
+        info!(
+            "place request={} route={} account={account} server={} wait_ms={} cached_tokens={} \
+             attempt={}",
+            self.call.request_id,
+            self.route.name,
+            placed.server,
+            placed.wait.as_millis(),
+            placed.cached_tokens,
+            self.tried.len() + 1,
+        );
+        Ok(placed)
+    }
+
+    /// Time up to which the answer's head is waited for.
+    fn patience(&self) -> TokioInstant {
+        let is_last = self.sends + 1 >= self.route.attempts_max;
+        if is_last || !self.route.call_kind.is_repeatable() {
+            return self.ends_at;
+        }
+        let patience = self.route.target_latency.mul_f64(HEAD_PATIENCE_TARGETS);
+        let until = TokioInstant::now() + patience.max(HEAD_PATIENCE_MIN);
+        until.min(self.ends_at)
+    }
+
+    fn failed(&mut self, attempt: &mut Attempt, error: LinkError) -> Attempted {
+        match error.reached {
+            Reached::NotSent => {
+                attempt.end = AttemptEnd::Unreachable;
+                Attempted::NotSent(error.reason)
+            }
+            Reached::MaybeRun => {
+                attempt.end = AttemptEnd::Broken;
+                self.sends += 1;
+                Attempted::Lost(error.reason)
+            }
+        }
+    }
+
+    async fn take_answer(
+        &mut self,
+        mut attempt: Attempt,
+        mut answer: LinkAnswer,
+    ) -> Result<Attempted> {
+        match self.serving.dialect.read_answer(&answer.head) {
+            AnswerKind::NotRun => {
+                attempt.end = AttemptEnd::Refused;
+                let _ = answer.body.read_whole(WHOLE_ANSWER_MAX_BYTES).await;
+                return Ok(Attempted::NotRun("refused by the server".to_owned()));
+            }
+            AnswerKind::OtherServer => {
+                attempt.end = AttemptEnd::WrongServer;
+                return Ok(Attempted::NotRun(
+                    "another server has the address".to_owned(),
+                ));
+            }
+            AnswerKind::Untrusted => {
+                attempt.end = AttemptEnd::Broken;
+                return Ok(Attempted::Lost("answer is not the server's own".to_owned()));
+            }
+            AnswerKind::Answer => {}
+        }
+        self.count_begun();
+        let is_stream = matches!(self.route.call_kind, CallKind::Stream { .. });
+        if is_stream && answer.head.status == StatusCode::OK {
+            return Ok(Attempted::Stream(attempt, Box::new(answer)));
+        }
+        let reading = answer.body.read_whole(WHOLE_ANSWER_MAX_BYTES);
+        match timeout_at(self.ends_at, reading).await {
+            Ok(Ok(body)) => {
+                attempt.end = AttemptEnd::Whole;
+                Ok(Attempted::Whole(attempt, Box::new(answer.head), body))
+            }
+            Ok(Err(error)) => {
+                attempt.end = AttemptEnd::Broken;
+                Ok(Attempted::Lost(error.reason))
+            }
+            Err(_) => {
+                self.may_have_run = true;
+                Ok(Attempted::TimedOut)
+            }
+        }
+    }
+
+    fn count_begun(&self) {
+        let Some(account) = &self.account else {
+            return;
+        };
+        let window = self.serving.usage_window_now();
+        self.serving.usage.borrow_mut().count(window, account);
+    }
+
+    /// True if the call may be sent to one more server, paid from the retry budget.
+    fn may_send_again(&self) -> bool {
+        if self.sends >= self.route.attempts_max {
+            return false;
+        }
+        let account = self.account.clone().unwrap_or_default();
+        let mut budget = self.serving.budget.borrow_mut();
+        budget.withdraw(&account, &self.service)
+    }
+
+    /// True if a server's failure may be another one's success.
+    fn wants_another(&self, head: &ResponseHead) -> bool {
+        head.status.is_server_error()
+            && self.route.call_kind == CallKind::Idempotent
+            && self.may_send_again()
+    }
+
+    async fn try_for_better(&mut self, last_event_id: Option<&str>) -> Option<Carried> {
+        self.may_have_run = true;
+        match self.attempt(last_event_id).await {
+            Ok(Attempted::Whole(attempt, head, body)) => Some(Carried::Whole(attempt, head, body)),
+            Ok(Attempted::Stream(attempt, answer)) => Some(Carried::Stream(attempt, answer)),
+            // The answer that is at hand is passed on.
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    fn refused(&self) -> Error {
+        match self.may_have_run {
+            true => self.lost("no further server took it".to_owned()),
+            false => Error::Overloaded {
+                subject: Subject::Service(self.service.clone()),
+                retry_after_ms: REFUSED_RETRY.as_millis() as u64,
+            },
+        }
+    }
+
+    fn lost(&self, reason: String) -> Error {
+        Error::DispatchLost {
+            reason,
+            server: self.tried.last().cloned().unwrap_or_default(),
+        }
+    }
+
+    fn timed_out(&self) -> Error {
+        if !self.may_have_run {
+            return self.refused();
+        }
+        Error::DispatchTimeout {
+            server: self.tried.last().cloned().unwrap_or_default(),
+            timeout_ms: self.received_at.elapsed().as_millis() as u64,
+        }
+    }
+
+    fn log_failed(&self, stage: &str, reason: &str) {
+        let server = self.tried.last().map_or("", |server| server.as_str());
+        warn!(
+            "attempt request={} server={server} end={stage} sends={} reason=\"{}\"",
+            self.call.request_id,
+            self.sends,
+            shorten(reason),
+        );
+    }
+
+    fn log_finish(&self, outcome: &str, status: u16, server: &str) {
+        self.serving.metrics.outcome(Outcome::Whole, "ok");
+        info!(
+            "finish request={} outcome={outcome} status={status} server={server} ms={}",
+            self.call.request_id,
+            self.received_at.elapsed().as_millis(),
+        );
+    }
+}
+
+/// An answer at hand.
+enum Carried {
+    Stream(Attempt, Box<LinkAnswer>),
+    Whole(Attempt, Box<ResponseHead>, Bytes),
+}
+
+/// Passes an event stream on, whole event by whole event.
+struct Relay {
+    _in_flight: InFlight,
+    attempt: Option<Attempt>,
+    body: LinkBody,
+    ended: bool,
+    events: SseParser,
+    exchange: Exchange,
+    last_event_id: Option<SmolStr>,
+}
+
+impl Relay {
+    async fn next(mut self) -> Option<(Result<Bytes>, Self)> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            if let Some(events) = self.take_events() {
+                return Some((Ok(events), self));
+            }
+            let ends_at = self.patience();
+            let chunk = match timeout_at(ends_at, self.body.next()).await {
+                Ok(Some(Ok(chunk))) => chunk,
+                Ok(None) => return self.end_whole(),
+                Ok(Some(Err(error))) => match self.go_on(error.reason).await {
+                    Ok(()) => continue,
+                    Err(error) => return Some(self.end_broken(error)),
+                },
+                Err(_) if ends_at < self.exchange.ends_at => {
+                    match self.go_on("stream fell silent".to_owned()).await {
+                        Ok(()) => continue,
+                        Err(error) => return Some(self.end_broken(error)),
+                    }
+                }
+                Err(_) => {
+                    let error = self.exchange.timed_out();
+                    return Some(self.end_broken(error));
+                }
+            };
+            if let Err(error) = self.events.push(&chunk) {
+                return Some(self.end_broken(error));
+            }
+        }
+    }
+
+    /// All whole events received so far.
+    fn take_events(&mut self) -> Option<Bytes> {
+        let mut joined: Option<BytesMut> = None;
+        let mut single: Option<Bytes> = None;
+        while let Some(event) = self.events.next_event() {
+            if let Some(id) = id_of_event(&event) {
+                self.last_event_id = Some(id.into());
+            }
+            match (&mut joined, single.take()) {
+                (Some(joined), _) => joined.extend_from_slice(&event),
+                (None, None) => single = Some(event),
+                (None, Some(first)) => {
+                    let mut both = BytesMut::with_capacity(first.len() + event.len());
+                    both.extend_from_slice(&first);
+                    both.extend_from_slice(&event);
+                    joined = Some(both);
+                }
+            }
+        }
+        joined.map(BytesMut::freeze).or(single)
+    }
+
+    fn patience(&self) -> TokioInstant {
+        let exchange = &self.exchange;
+        let can_resume = exchange.route.call_kind == CallKind::Stream { resumable: true }
+            && exchange.sends < exchange.route.attempts_max;
+        if !can_resume {
+            return exchange.ends_at;
+        }
+        let gap = exchange.route.gap_target.mul_f64(GAP_PATIENCE_TARGETS);
+        (TokioInstant::now() + gap).min(exchange.ends_at)
+    }
+
+    /// Goes on at another server after the last event that was passed on.
+    async fn go_on(&mut self, reason: String) -> Result {
+        if let Some(attempt) = &mut self.attempt {
+            attempt.end = AttemptEnd::Broken;
+        }
+        self.attempt = None;
+        self.events.clear();
+        self.exchange.may_have_run = true;
+        self.exchange.log_failed("broken-stream", &reason);
+        let resumable = self.exchange.route.call_kind.is_repeatable();
+        if !resumable || !self.exchange.may_send_again() {
+            return Err(self.exchange.lost(reason));
+        }
+        let last_event_id = self.last_event_id.clone();
+        match self.exchange.carry(last_event_id.as_deref()).await? {
+            Carried::Stream(attempt, answer) => {
+                self.attempt = Some(attempt);
+                self.body = answer.body;
+                Ok(())
+            }
+            Carried::Whole(..) => Err(self.exchange.lost(reason)),
+        }
+    }
+
+    fn end_whole(mut self) -> Option<(Result<Bytes>, Self)> {
+        if self.events.has_partial() {
+            let error = self
+                .exchange
+                .lost("stream ended inside an event".to_owned());
+            return Some(self.end_broken(error));
+        }
+        let attempt = self.attempt.as_mut()?;
+        attempt.end = AttemptEnd::Whole;
+        let server = attempt.placed.server.clone();
+        self.exchange.log_finish("whole", 200, &server);
+        None
+    }
+
+    /// Ends the caller's connection, so that the answer cannot be taken for a whole one.
+    fn end_broken(mut self, error: Error) -> (Result<Bytes>, Self) {
+        warn!(
+            "finish request={} outcome=broken-stream ms={} reason=\"{error}\"",
+            self.exchange.call.request_id,
+            self.exchange.received_at.elapsed().as_millis(),
+        );
+        let code = error.status().1;
+        self.exchange
+            .serving
+            .metrics
+            .outcome(Outcome::Unknown, code);
+        self.ended = true;
+        (Err(error), self)
+    }
+}
+
+/// Headers that belong to one connection.
+const CONNECTION_HEADERS: [&str; 7] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// True if a header belongs to one connection and is not passed on.
+pub fn is_connection_header(name: &str) -> bool {
+    CONNECTION_HEADERS.contains(&name)
+}
+
+fn respond(head: &ResponseHead, body: BoxBody) -> Response<BoxBody> {
+    let mut response = Response::with_body(head.status, body);
+    for (name, value) in head.headers() {
+        if !is_connection_header(name.as_str()) {
+            response.headers_mut().append(name.clone(), value.clone());
+        }
+    }
+    response
+}
+
+fn refuse(
+    serving: &Serving,
+    request_id: &str,
+    received_at: TokioInstant,
+    error: &Error,
+) -> Response<BoxBody> {
+    let (status, code) = error.status();
+    let outcome = error.outcome();
+    serving.metrics.outcome(outcome, code);
+    let age = serving.book.borrow().age(boot_time());
+    info!(
+        "finish request={request_id} outcome={} status={status} code={code} ms={} \
+         policy_age_ms={} reason=\"{error}\"",
+        outcome.as_str(),
+        received_at.elapsed().as_millis(),
+        age.map_or(0, |age| age.as_millis()),
+    );
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = Response::build(status);
+    builder.insert_header((REQUEST_ID_HEADER, request_id));
+    builder.insert_header((finish::OUTCOME_HEADER, outcome.as_str()));
+    builder.insert_header(("content-type", "application/json"));
+    if let Some(retry_after) = error.retry_after() {
+        builder.insert_header(("retry-after", format!("{:.3}", retry_after.as_secs_f64())));
+    }
+    builder
+        .body(error_json(error).to_string())
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,337 @@
+//! Backend servers that registered themselves: who is there, who is well, and where a call goes.
+//!
+//! The registry decides which servers may be used; what this instance's own calls saw decides
+//! which of them are well. The state does no I/O: events and the time go in, choices come out.
+
+use super::*;
+
+/// A server whose connections fail is left out for this long, doubled by each failure in a row;
+/// a restart takes seconds, a lost packet less.
+const DOWN_FIRST: Duration = Duration::from_millis(300);
+
+/// Longest time for which a failing server is left out.
+const DOWN_MAX: Duration = Duration::from_secs(5);
+
+/// Prompt parts remembered for each server's cache.
+const CACHED_PARTS_MAX: usize = 4_096;
+
+/// Prompt tokens that an engine reads in a millisecond until its answers have shown its rate;
+/// the order of magnitude of current accelerators.
+const PREFILL_TOKENS_PER_MS: f64 = 30.0;
+
+/// Time that a call to another data centre costs more, for its round trip and its bytes.
+const OTHER_CENTRE_COST_MS: f64 = 4.0;
+
+/// Time that each running request adds to the first token of the next one: steps grow with the
+/// batch.
+const RUNNING_COST_MS: f64 = 1.0;
+
+/// Time that a plain call at the server adds to the next one's wait.
+const PLAIN_CALL_COST_MS: f64 = 20.0;
+
+/// Retry time told while no server is ready.
+const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
+
+/// State that a server reports of itself to the registry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerRecord {
+    /// Address of its listener.
+    pub address: SocketAddr,
+    /// Time of its start in milliseconds since 1970; another one is another life.
+    pub born_ms: u64,
+    /// Data centre.
+    pub data_centre: DataCentreName,
+    /// Unique name.
+    pub id: ServerName,
+    /// True once it has announced that it leaves.
+    pub leaving: bool,
+    /// Counts its reports in one life.
+    pub report_number: u64,
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// True if its machine is reclaimable.
+    pub spot: bool,
+}
+
+/// A registered server with what is believed of it.
+#[derive(Debug)]
+pub struct FleetServer {
+    down_until: Duration,
+    failures_in_a_row: u32,
+    prefill_until: Duration,
+    prefixes: PrefixEstimate,
+    /// The server's last report.
+    pub record: ServerRecord,
+    /// Calls of this instance that it runs.
+    pub running_here: u32,
+    /// Calls of other instances that it runs, as they last told.
+    pub running_elsewhere: u32,
+    suspects_here: u32,
+}
+
+impl FleetServer {
+    fn new(record: ServerRecord) -> Self {
+        Self {
+            down_until: Duration::ZERO,
+            failures_in_a_row: 0,
+            prefill_until: Duration::ZERO,
+            prefixes: PrefixEstimate::new(CACHED_PARTS_MAX),
+            record,
+            running_here: 0,
+            running_elsewhere: 0,
+            suspects_here: 0,
+        }
+    }
+
+    /// Calls of all instances that it runs.
+    pub fn running(&self) -> u32 {
+        self.running_here + self.running_elsewhere
+    }
+}
+
+/// How a call's attempt ended, as far as its server's health goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The connection broke or the answer was spoiled while the call ran.
+    Broken,
+    /// The caller went away, or its time ran out.
+    GivenUp,
+    /// The server refused the call without running it.
+    Refused,
+    /// No connection was made.
+    Unreachable,
+    /// The server answered whole.
+    Whole,
+    /// Another server has the address now.
+    WrongServer,
+}
+
+/// What placement has to know of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceAsk<'a> {
+    /// Prompt, for model calls.
+    pub prompt: Option<&'a Prompt>,
+    /// Service that the call goes to.
+    pub service: &'a ServiceName,
+    /// True if the call's content was running at a server that crashed.
+    pub suspect: bool,
+    /// Servers that the call was sent to before.
+    pub tried: &'a [ServerName],
+}
+
+/// Where an attempt goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placed {
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Prompt tokens believed to be in the server's cache.
+    pub cached_tokens: u32,
+    /// Name of the server.
+    pub server: ServerName,
+    /// Expected time until the answer begins.
+    pub wait: Duration,
+}
+
+/// All registered servers.
+#[derive(Debug)]
+pub struct Fleet {
+    data_centre: DataCentreName,
+    servers: BTreeMap<ServerName, FleetServer>,
+}
+
+impl Fleet {
+    /// Creates an empty fleet as seen from a data centre.
+    pub fn new(data_centre: DataCentreName) -> Self {
+        Self {
+            data_centre,
+            servers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a server's report. Returns true if it changed what is believed of the server.
+    pub fn report(&mut self, record: ServerRecord) -> bool {
+        let Some(known) = self.servers.get_mut(&record.id) else {
+            let id = record.id.clone();
+            self.servers.insert(id, FleetServer::new(record));
+            return true;
+        };
+        if record.born_ms < known.record.born_ms {
+            return false;
+        }
+        if record.born_ms > known.record.born_ms || record.address != known.record.address {
+            *known = FleetServer::new(record);
+            return true;
+        }
+        if known.record.leaving && !record.leaving && !is_off(Safeguard::Leaving) {
+            return false;
+        }
+        let changed = known.record.leaving != record.leaving;
+        known.record = record;
+        changed
+    }
+
+    /// Drops a server that left the registry.
+    pub fn remove(&mut self, id: &str) -> bool {
+        self.servers.remove(id).is_some()
+    }
+
+    /// All servers by name.
+    pub fn servers(&self) -> impl Iterator<Item = &FleetServer> {
+        self.servers.values()
+    }
+
+    /// Servers of a service that may be sent new work.
+    pub fn ready_count(&self, service: &ServiceName) -> usize {
+        self.servers
+            .values()
+            .filter(|server| server.record.service == *service && !server.record.leaving)
+            .count()
+    }
+
+    /// Chooses a server for an attempt and counts the attempt there.
+    pub fn place(&mut self, now: Duration, ask: PlaceAsk<'_>) -> Result<Placed> {
+        let prefixes = ask.prompt.map(Prompt::prefixes).unwrap_or_default();
+        let home = self.home(now, &ask, &prefixes);
+        let mut best: Option<(f64, ServerName)> = None;
+        for server in self.servers.values() {
+            if !is_candidate(server, now, &ask) {
+                continue;
+            }
+            let at_home = home.as_ref() == Some(&server.record.id);
+            let cost = self.cost_ms(now, server, &ask, &prefixes, at_home);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, server.record.id.clone()));
+            }
+        }
+        let Some((cost_ms, id)) = best else {
+            return Err(self.none_ready(&ask));
+        };
+        Ok(self.commit(now, &id, &ask, &prefixes, cost_ms))
+    }
+
+    /// Ends an attempt counted by [`place`](Self::place).
+    pub fn end_attempt(&mut self, now: Duration, id: &str, suspect: bool, end: AttemptEnd) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        server.running_here = server.running_here.saturating_sub(1);
+        if suspect {
+            server.suspects_here = server.suspects_here.saturating_sub(1);
+        }
+        match end {
+            AttemptEnd::Broken | AttemptEnd::Unreachable => {
+                server.failures_in_a_row += 1;
+                let doublings = (server.failures_in_a_row - 1).min(4);
+                let pause = (DOWN_FIRST * (1 << doublings)).min(DOWN_MAX);
+                server.down_until = now + pause;
+            }
+            AttemptEnd::WrongServer => server.down_until = now + DOWN_MAX,
+            AttemptEnd::GivenUp | AttemptEnd::Refused => {}
+            AttemptEnd::Whole => server.failures_in_a_row = 0,
+        }
+    }
+
+    fn commit(
+        &mut self,
+        now: Duration,
+        id: &ServerName,
+        ask: &PlaceAsk<'_>,
+        prefixes: &PrefixHashes,
+        cost_ms: f64,
+    ) -> Placed {
+        let server = self.servers.get_mut(id).expect("chosen among the servers");
+        server.running_here += 1;
+        if ask.suspect {
+            server.suspects_here += 1;
+        }
+        let mut cached_tokens = 0;
+        if let Some(prompt) = ask.prompt {
+            let cached_parts = server.prefixes.cached_blocks(prefixes);
+            cached_tokens = prompt.tokens_in(cached_parts);
+            let work_ms =
+                f64::from(prompt.tokens - cached_tokens.min(prompt.tokens)) / PREFILL_TOKENS_PER_MS;
+            server.prefill_until =
+                server.prefill_until.max(now) + Duration::from_secs_f64(work_ms / 1_000.0);
+            server.prefixes.record(now, prefixes);
+        }
+        Placed {
+            address: server.record.address,
+            cached_tokens,
+            server: id.clone(),
+            wait: Duration::from_secs_f64(cost_ms / 1_000.0),
+        }
+    }
+
+    /// The server that all instances agree on for a prompt's shared parts, without messages:
+    /// the highest hash of server and parts among those that are ready.
+    fn home(
+        &self,
+        now: Duration,
+        ask: &PlaceAsk<'_>,
+        prefixes: &PrefixHashes,
+    ) -> Option<ServerName> {
+        let prompt = ask.prompt?;
+        let shared = prefixes.get(prompt.shared_count().checked_sub(1)?)?;
+        let mut best: Option<(u64, &ServerName)> = None;
+        for server in self.servers.values() {
+            if !is_candidate(server, now, ask) {
+                continue;
+            }
+            let score = xxh3_64_with_seed(server.record.id.as_bytes(), *shared);
+            if best.is_none_or(|(most, _)| score > most) {
+                best = Some((score, &server.record.id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    fn cost_ms(
+        &self,
+        now: Duration,
+        server: &FleetServer,
+        ask: &PlaceAsk<'_>,
+        prefixes: &PrefixHashes,
+        at_home: bool,
+    ) -> f64 {
+        let mut cost = 0.0;
+        if server.record.data_centre != self.data_centre {
+            cost += OTHER_CENTRE_COST_MS;
+        }
+        let Some(prompt) = ask.prompt else {
+            let load = f64::from(server.running()) / f64::from(server.record.slots.max(1));
+            return cost + load * PLAIN_CALL_COST_MS;
+        };
+        let cached_parts = match at_home {
+            true => prompt.shared_count(),
+            false => server.prefixes.cached_blocks(prefixes),
+        };
+        let uncached = prompt.tokens - prompt.tokens_in(cached_parts).min(prompt.tokens);
+        let backlog = server.prefill_until.saturating_sub(now);
+        cost += f64::from(uncached) / PREFILL_TOKENS_PER_MS;
+        cost += backlog.as_secs_f64() * 1_000.0;
+        cost += f64::from(server.running()) * RUNNING_COST_MS;
+        if server.running() >= server.record.slots {
+            cost += f64::from(server.running() - server.record.slots + 1) * PLAIN_CALL_COST_MS;
+        }
+        cost
+    }
+
+    fn none_ready(&self, ask: &PlaceAsk<'_>) -> Error {
+        Error::NoServer {
+            subject: Subject::Service(ask.service.clone()),
+            retry_after_ms: NO_SERVER_RETRY.as_millis() as u64,
+        }
+    }
+}
+
+/// True if a server may be sent the call.
+fn is_candidate(server: &FleetServer, now: Duration, ask: &PlaceAsk<'_>) -> bool {
+    let stays = !server.record.leaving || is_off(Safeguard::Leaving);
+    server.record.service == *ask.service
+        && stays
+        && now >= server.down_until
+        && !ask.tried.contains(&server.record.id)
+        && !(ask.suspect && server.suspects_here > 0)
+}
--- /dev/null
+++ b/src/follow.rs
@@ -0,0 +1,126 @@
+//! Follows keyed topics of the log: the policy and the registered servers.
+
+use super::*;
+
+use std::rc::Rc;
+
+/// Pause after a failed read; the log is asked again soon, since keys lapse without it.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// A topic to follow.
+pub struct Follow {
+    /// The log.
+    pub log: Rc<dyn TopicLog>,
+    /// Pause between reads, so that frequent records are read together.
+    pub pause: Duration,
+    /// Name of the topic.
+    pub topic: &'static str,
+    /// Time that a read waits for the first record.
+    pub wait: Duration,
+}
+
+/// What a follower tells.
+#[derive(Debug)]
+pub enum Followed {
+    /// A key has a new value, or was dropped.
+    Change(KeyedRecord),
+    /// All records before an offset are known to a read that began at a time.
+    Proof {
+        /// Start of the read.
+        began_at: Duration,
+        /// First offset not covered.
+        read_to: LogOffset,
+    },
+    /// Reads fail, or work again.
+    Reachable(bool),
+}
+
+impl Follow {
+    /// Follows until the shutdown.
+    pub async fn run(self, mut tell: impl FnMut(Followed), shutdown: CancellationToken) {
+        let mut view = KeyedView::default();
+        let mut reachable = true;
+        loop {
+            let began_at = boot_time();
+            let read = tokio::select! {
+                () = shutdown.cancelled() => return,
+                read = self.read(&mut view, began_at, &mut tell) => read,
+            };
+            let pause = match &read {
+                Ok(()) => self.pause,
+                Err(_) => RETRY_PAUSE,
+            };
+            if read.is_ok() != reachable {
+                reachable = read.is_ok();
+                self.log_reachable(&read);
+                tell(Followed::Reachable(reachable));
+            }
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        view: &mut KeyedView,
+        began_at: Duration,
+        tell: &mut impl FnMut(Followed),
+    ) -> Result {
+        match view.need() {
+            KeyedNeed::Page { after } => {
+                let page = self.log.newest(self.topic, after).await?;
+                let end = page.end;
+                for change in view.take_page(page.items, page.has_more, end) {
+                    tell(Followed::Change(change));
+                }
+                // A proof needs the records that came while pages were read: the next read
+                // gives it.
+                Ok(())
+            }
+            KeyedNeed::Records { from } => {
+                let read = self.log.read(self.topic, from, self.wait).await?;
+                let (end, records) = match read {
+                    TopicRead::Records { end, records } => (end, records),
+                    TopicRead::Gone => {
+                        info!("follow topic={} records are gone; read anew", self.topic);
+                        view.start_over();
+                        return Ok(());
+                    }
+                };
+                let covered = records.last().map_or(from, |(offset, _)| offset + 1);
+                for change in view.take_records(self.keyed(records)) {
+                    tell(Followed::Change(change));
+                }
+                if covered >= end {
+                    let read_to = covered;
+                    tell(Followed::Proof { began_at, read_to });
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn keyed(&self, records: Vec<(LogOffset, Bytes)>) -> Vec<KeyedRecord> {
+        let mut keyed = Vec::with_capacity(records.len());
+        for (offset, raw) in records {
+            match keyed_record(offset, &raw) {
+                Ok(record) => keyed.push(record),
+                Err(error) => warn!("follow topic={} {error}", self.topic),
+            }
+        }
+        keyed
+    }
+
+    fn log_reachable(&self, read: &Result) {
+        match read {
+            Ok(()) => info!("dependency name=log topic={} regained", self.topic),
+            Err(error) => {
+                warn!(
+                    "dependency name=log topic={} lost reason=\"{error}\"",
+                    self.topic
+                );
+            }
+        }
+    }
+}
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -11,28 +11,32 @@
 /// Least burst of requests, so that a small share still lets single requests through.
 const BURST_MIN_REQUESTS: f64 = 1.0;
 
+/// A token bucket.
 #[derive(Debug)]
-struct Bucket {
+pub struct Bucket {
     filled_at: Duration,
-    level: f64,
+    /// Units that may be used now; below zero after a use that was charged later.
+    pub level: f64,
 }
 
 impl Bucket {
-    fn new(now: Duration, capacity: f64) -> Self {
+    /// Creates a full bucket.
+    pub fn new(now: Duration, capacity: f64) -> Self {
         Self {
             filled_at: now,
             level: capacity,
         }
     }
 
-    fn refill(&mut self, now: Duration, rate_per_s: f64, capacity: f64) {
+    /// Adds what the time since the last refill brings.
+    pub fn refill(&mut self, now: Duration, rate_per_s: f64, capacity: f64) {
         let elapsed = now.saturating_sub(self.filled_at);
         self.filled_at = now;
         self.level = (self.level + elapsed.as_secs_f64() * rate_per_s).min(capacity);
     }
 
     /// Time until the level reaches `need`.
-    fn wait(&self, need: f64, rate_per_s: f64) -> Duration {
+    pub fn wait(&self, need: f64, rate_per_s: f64) -> Duration {
         let missing = (need - self.level).max(0.0);
         Duration::from_secs_f64((missing / rate_per_s).clamp(0.001, 60.0))
     }
--- /dev/null
+++ b/src/serving_run.rs
@@ -0,0 +1,182 @@
+//! Runs an instance whose backend servers register themselves: follows the log, serves, stops.
+
+use super::*;
+
+use std::rc::Rc;
+
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Time between "not ready" and the end of the listener: the balancer asks every second and
+/// takes an instance out after two answers.
+const BALANCER_TIME: Duration = Duration::from_millis(3_000);
+
+/// Part of the grace time kept for the end of the process.
+const END_TIME: Duration = Duration::from_millis(400);
+
+/// Pause between looks at the calls in progress during a stop.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Pause between rounds of housekeeping.
+const HOUSEKEEPING_PAUSE: Duration = Duration::from_secs(2);
+
+/// What differs between platforms.
+pub struct ServingParts {
+    /// Callers' listener.
+    pub callers: SocketAddr,
+    /// Decodes an operators' record; `None` for one that holds no policy.
+    pub decode_policy: fn(&KeyedRecord) -> Result<Option<Arc<Policy>>>,
+    /// Decodes a server's record from its id and value.
+    pub decode_server: fn(&str, &[u8]) -> Result<ServerRecord>,
+    /// Time between the request to stop and the kill.
+    pub grace: Duration,
+    /// Operators' topic.
+    pub policies: Follow,
+    /// Servers' topic.
+    pub servers: Follow,
+    /// Listener for readiness and metrics.
+    pub status: SocketAddr,
+}
+
+/// Runs an instance until it is told to stop, then lets its calls end.
+pub async fn run_serving(serving: Rc<Serving>, parts: ServingParts) -> Result {
+    let accepting = CancellationToken::new();
+    let closing = CancellationToken::new();
+    let shutdown = CancellationToken::new();
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| Error::Address {
+        address: "signal handler".to_owned(),
+        reason: error.to_string(),
+    })?;
+    for (kind, address) in [
+        (FrontKind::Callers, parts.callers),
+        (FrontKind::Status, parts.status),
+    ] {
+        let listener = listen(address)?;
+        let token = match kind {
+            FrontKind::Callers => accepting.clone(),
+            FrontKind::Status => shutdown.clone(),
+        };
+        let front = serve_listener(serving.clone(), kind, listener, token, closing.clone());
+        actix_rt::spawn(front);
+    }
+    info!(
+        "start instance={} data_centre={} callers={} status={}",
+        serving.settings.instance, serving.settings.data_centre, parts.callers, parts.status
+    );
+    follow_policies(&serving, parts.policies, parts.decode_policy, &shutdown);
+    follow_servers(&serving, parts.servers, parts.decode_server, &shutdown);
+    actix_rt::spawn(keep_house(serving.clone(), shutdown.clone()));
+    let _ = terminate.recv().await;
+    stop(&serving, parts.grace, &accepting, &closing).await;
+    shutdown.cancel();
+    Ok(())
+}
+
+/// Stops in order: readiness off, time for the balancer to notice, calls end, connections close.
+async fn stop(
+    serving: &Serving,
+    grace: Duration,
+    accepting: &CancellationToken,
+    closing: &CancellationToken,
+) {
+    let began = Instant::now();
+    serving.draining.set(true);
+    info!(
+        "stop instance={} in_flight={}",
+        serving.settings.instance,
+        serving.in_flight.get()
+    );
+    tokio::time::sleep(BALANCER_TIME.min(grace / 2)).await;
+    accepting.cancel();
+    closing.cancel();
+    let end = grace.saturating_sub(END_TIME);
+    while serving.in_flight.get() > 0 && began.elapsed() < end {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+    info!(
+        "stop instance={} done in_flight={} ms={}",
+        serving.settings.instance,
+        serving.in_flight.get(),
+        began.elapsed().as_millis()
+    );
+}
+
+fn follow_policies(
+    serving: &Rc<Serving>,
+    follow: Follow,
+    decode: fn(&KeyedRecord) -> Result<Option<Arc<Policy>>>,
+    shutdown: &CancellationToken,
+) {
+    let serving = serving.clone();
+    let tell = move |followed| match followed {
+        Followed::Change(record) => match decode(&record) {
+            Ok(Some(policy)) => take_policy(&serving, policy, record.offset),
+            Ok(None) => {}
+            Err(error) => warn!("policy offset={} is passed over: {error}", record.offset),
+        },
+        Followed::Proof { began_at, read_to } => {
+            serving.book.borrow_mut().prove(began_at, read_to);
+        }
+        Followed::Reachable(_) => {}
+    };
+    actix_rt::spawn(follow.run(tell, shutdown.clone()));
+}
+
+fn take_policy(serving: &Serving, policy: Arc<Policy>, offset: LogOffset) {
+    let version = policy.version;
+    let taken = serving.book.borrow_mut().offer(policy);
+    info!("policy version={version} offset={offset} taken={taken}");
+}
+
+fn follow_servers(
+    serving: &Rc<Serving>,
+    follow: Follow,
+    decode: fn(&str, &[u8]) -> Result<ServerRecord>,
+    shutdown: &CancellationToken,
+) {
+    let serving = serving.clone();
+    let tell = move |followed| {
+        let Followed::Change(record) = followed else {
+            return;
+        };
+        take_server(&serving, &record, decode);
+    };
+    actix_rt::spawn(follow.run(tell, shutdown.clone()));
+}
+
+fn take_server(
+    serving: &Serving,
+    record: &KeyedRecord,
+    decode: fn(&str, &[u8]) -> Result<ServerRecord>,
+) {
+    let id = &record.key;
+    let mut fleet = serving.fleet.borrow_mut();
+    let Some(value) = &record.value else {
+        if fleet.remove(id) {
+            info!("server id={id} offset={} removed", record.offset);
+        }
+        return;
+    };
+    match decode(id, value) {
+        Ok(server) => {
+            let leaving = server.leaving;
+            if fleet.report(server) {
+                info!("server id={id} offset={} leaving={leaving}", record.offset);
+            }
+        }
+        Err(error) => {
+            warn!(
+                "server id={id} offset={} is not used: {error}",
+                record.offset
+            );
+            fleet.remove(id);
+        }
+    }
+}
+
+async fn keep_house(serving: Rc<Serving>, shutdown: CancellationToken) {
+    while !shutdown.is_cancelled() {
+        tokio::time::sleep(HOUSEKEEPING_PAUSE).await;
+        serving.links.close_old();
+    }
+}
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -13,6 +13,17 @@
 }
 
 impl SseParser {
+    /// True if bytes of an event that is not whole are left.
+    pub fn has_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Forgets the bytes of an event that is not whole.
+    pub fn clear(&mut self) {
+        self.buffer.clear();
+        self.scanned = 0;
+    }
+
     /// Adds bytes as they arrive. Fails if an event is over [`EVENT_MAX_BYTES`].
     pub fn push(&mut self, bytes: &[u8]) -> Result {
         if self.buffer.len() + bytes.len() > EVENT_MAX_BYTES {
@@ -35,7 +46,8 @@
         None
     }
 
-    fn next_event(&mut self) -> Option<Bytes> {
+    /// Takes the next whole event as it was received, with the line break that ends it.
+    pub fn next_event(&mut self) -> Option<Bytes> {
         let mut at = self.scanned;
         while at < self.buffer.len() {
             let rest = &self.buffer[at..];
@@ -54,6 +66,18 @@
     }
 }
 
+/// Id of an event as received, if it has one.
+pub fn id_of_event(event: &[u8]) -> Option<&str> {
+    let mut id = None;
+    for line in event.split(|byte| *byte == b'\n') {
+        let Some(value) = line.strip_prefix(b"id:") else {
+            continue;
+        };
+        id = std::str::from_utf8(value).ok().map(str::trim);
+    }
+    id
+}
+
 /// Joins the data lines of an event; the common event of one line is not copied.
 fn event_data(event: &Bytes) -> Option<Bytes> {
     let mut joined: Option<BytesMut> = None;
--- a/src/table.rs
+++ b/src/table.rs
@@ -20,6 +20,8 @@
     Model(SmolStr),
     /// A plain service by its route's prefix.
     Route(SmolStr),
+    /// A service whose servers register themselves.
+    Service(SmolStr),
 }
 
 impl std::fmt::Display for Subject {
@@ -27,6 +29,7 @@
         match self {
             Self::Model(name) => write!(f, "model {name}"),
             Self::Route(prefix) => write!(f, "route {prefix}"),
+            Self::Service(name) => write!(f, "service {name}"),
         }
     }
 }
--- /dev/null
+++ b/src/usage_book.rs
@@ -0,0 +1,64 @@
+//! Counts the calls that began to run, by window of time and client account.
+
+use super::*;
+
+/// Windows kept: a report is due a few windows after the window's end.
+const WINDOWS_MAX: usize = 8;
+
+/// Counts of one window by account.
+pub type UsageCounts = BTreeMap<AccountName, u64>;
+
+/// Counts of this instance and, as they last told, of its peers.
+#[derive(Debug, Default)]
+pub struct UsageBook {
+    own: BTreeMap<UsageWindow, UsageCounts>,
+    peers: HashMap<(InstanceName, u64), BTreeMap<UsageWindow, UsageCounts>>,
+}
+
+impl UsageBook {
+    /// Counts a call that began to run in a window.
+    pub fn count(&mut self, window: UsageWindow, account: &AccountName) {
+        let counts = self.own.entry(window).or_default();
+        *counts.entry(account.clone()).or_default() += 1;
+        drop_oldest(&mut self.own);
+    }
+
+    /// Own counts of the windows kept.
+    pub fn own(&self) -> &BTreeMap<UsageWindow, UsageCounts> {
+        &self.own
+    }
+
+    /// Takes the counts that one life of a peer told; they only grow.
+    pub fn take_peer(
+        &mut self,
+        peer: InstanceName,
+        life: u64,
+        windows: BTreeMap<UsageWindow, UsageCounts>,
+    ) {
+        let known = self.peers.entry((peer, life)).or_default();
+        for (window, counts) in windows {
+            known.insert(window, counts);
+        }
+        drop_oldest(known);
+    }
+
+    /// Counts of all instances in a window.
+    pub fn total(&self, window: UsageWindow) -> UsageCounts {
+        let mut total = self.own.get(&window).cloned().unwrap_or_default();
+        for windows in self.peers.values() {
+            let Some(counts) = windows.get(&window) else {
+                continue;
+            };
+            for (account, count) in counts {
+                *total.entry(account.clone()).or_default() += count;
+            }
+        }
+        total
+    }
+}
+
+fn drop_oldest(windows: &mut BTreeMap<UsageWindow, UsageCounts>) {
+    while windows.len() > WINDOWS_MAX {
+        windows.pop_first();
+    }
+}
