Share limits, loads and usage between instances; report usage and order capacity under a lease

Change: datagrams between instances tell demand, calls at each server, prompt tokens a second, usage counts, age of the policy and time of day; peers find each other in a keyed topic. A lease by compare-at-offset gives duties to one instance; a usage report is entered in the log before it is sent, so that the next holder repeats it with the same counts. Capacity: reclaimable servers spread over the data centres so that one centre's loss can be borne, others bridge.

--- a/src/error.rs
+++ b/src/error.rs
@@ -44,6 +44,12 @@
         /// The bound.
         limit_bytes: usize,
     },
+    /// The platform's API for capacity and usage refused or did not answer.
+    #[snafu(display("platform API: {reason}; it is retried, check the platform's status"))]
+    Cloud {
+        /// Cause.
+        reason: String,
+    },
     /// The call went on to another instance while its caller waited.
     #[snafu(display(
         "the call went on to another instance; send it again with the same key or Last-Event-ID"
@@ -310,6 +316,7 @@
             Self::UnknownModel { .. } => (404, "model_not_found"),
             Self::UnknownRoute => (404, "route_not_found"),
             Self::Address { .. }
+            | Self::Cloud { .. }
             | Self::FileRead { .. }
             | Self::Invariant { .. }
             | Self::LogService { .. }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -285,10 +285,10 @@
                     return Ok(Carried::Stream(attempt, answer));
                 }
                 Attempted::Whole(attempt, head, body) => {
-                    if self.wants_another(&head) {
-                        if let Some(better) = self.try_for_better(last_event_id).await {
-                            return Ok(better);
-                        }
+                    if self.wants_another(&head)
+                        && let Some(better) = self.try_for_better(last_event_id).await
+                    {
+                        return Ok(better);
                     }
                     return Ok(Carried::Whole(attempt, head, body));
                 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -17,7 +17,7 @@
 
 /// Prompt tokens that an engine reads in a millisecond until its answers have shown its rate;
 /// the order of magnitude of current accelerators.
-const PREFILL_TOKENS_PER_MS: f64 = 30.0;
+pub const PREFILL_TOKENS_PER_MS: f64 = 30.0;
 
 /// Time that a call to another data centre costs more, for its round trip and its bytes.
 const OTHER_CENTRE_COST_MS: f64 = 4.0;
@@ -29,6 +29,9 @@
 /// Time that a plain call at the server adds to the next one's wait.
 const PLAIN_CALL_COST_MS: f64 = 20.0;
 
+/// Time after which what a peer told of its calls no longer counts; a few digests may be lost.
+const PEER_LOAD_TTL: Duration = Duration::from_secs(3);
+
 /// Retry time told while no server is ready.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
 
@@ -64,10 +67,10 @@
     prefixes: PrefixEstimate,
     /// The server's last report.
     pub record: ServerRecord,
+    /// What other instances last told of their calls there.
+    elsewhere: SmallVec<[(InstanceName, Duration, ServerLoad); 8]>,
     /// Calls of this instance that it runs.
     pub running_here: u32,
-    /// Calls of other instances that it runs, as they last told.
-    pub running_elsewhere: u32,
     suspects_here: u32,
 }
 
@@ -79,16 +82,57 @@
             prefill_until: Duration::ZERO,
             prefixes: PrefixEstimate::new(CACHED_PARTS_MAX),
             record,
+            elsewhere: SmallVec::new(),
             running_here: 0,
-            running_elsewhere: 0,
             suspects_here: 0,
         }
     }
 
     /// Calls of all instances that it runs.
     pub fn running(&self) -> u32 {
-        self.running_here + self.running_elsewhere
+        let elsewhere: u32 = self.elsewhere.iter().map(|(.., load)| load.running).sum();
+        self.running_here + elsewhere
+    }
+
+    /// Time for which prompts sent by this instance still keep it busy.
+    fn own_backlog(&self, now: Duration) -> Duration {
+        self.prefill_until.saturating_sub(now)
+    }
+
+    /// Time for which prompts sent by all instances still keep it busy.
+    fn backlog(&self, now: Duration) -> Duration {
+        let mut sum = self.own_backlog(now);
+        for (_, told_at, load) in &self.elsewhere {
+            sum += load.backlog.saturating_sub(now.saturating_sub(*told_at));
+        }
+        sum
+    }
+
+    /// Leading parts of a prompt that it is believed to hold. At their home, the shared parts are:
+    /// other instances send them there too.
+    fn cached_parts(&self, prompt: &Prompt, prefixes: &PrefixHashes, at_home: bool) -> usize {
+        match at_home {
+            true => prompt.shared_count(),
+            false => self.prefixes.cached_blocks(prefixes),
+        }
     }
+
+    /// This instance's calls there, to tell peers.
+    pub fn own_load(&self, now: Duration) -> ServerLoad {
+        ServerLoad {
+            backlog: self.own_backlog(now),
+            running: self.running_here,
+        }
+    }
+}
+
+/// Calls of one instance at a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Time for which their prompts still keep the server busy.
+    pub backlog: Duration,
+    /// Number of calls.
+    pub running: u32,
 }
 
 /// How a call's attempt ended, as far as its server's health goes.
@@ -138,6 +182,10 @@
 #[derive(Debug)]
 pub struct Fleet {
     data_centre: DataCentreName,
+    /// Prompt tokens a second that peers send to each service.
+    peer_rates: HashMap<InstanceName, (Duration, HashMap<ServiceName, f64>)>,
+    /// Prompt tokens a second sent to each service.
+    prefill_rates: HashMap<ServiceName, DecayingRate>,
     servers: BTreeMap<ServerName, FleetServer>,
 }
 
@@ -146,6 +194,8 @@
     pub fn new(data_centre: DataCentreName) -> Self {
         Self {
             data_centre,
+            peer_rates: HashMap::new(),
+            prefill_rates: HashMap::new(),
             servers: BTreeMap::new(),
         }
     }
@@ -190,6 +240,72 @@
             .count()
     }
 
+    /// Takes what a peer tells of its calls at all servers.
+    pub fn take_peer_loads(
+        &mut self,
+        now: Duration,
+        peer: &InstanceName,
+        loads: &HashMap<ServerName, ServerLoad>,
+    ) {
+        for server in self.servers.values_mut() {
+            server.elsewhere.retain(|(instance, told_at, _)| {
+                instance != peer && now.saturating_sub(*told_at) < PEER_LOAD_TTL
+            });
+            if let Some(load) = loads.get(&server.record.id) {
+                server.elsewhere.push((peer.clone(), now, *load));
+            }
+        }
+    }
+
+    /// Prompt tokens a second that this instance sent to a service uncached, averaged.
+    pub fn prefill_rates(&mut self, now: Duration) -> HashMap<ServiceName, f64> {
+        let mut rates = HashMap::new();
+        for (service, rate) in &mut self.prefill_rates {
+            rates.insert(service.clone(), rate.at(now));
+        }
+        rates
+    }
+
+    /// Takes the prompt tokens a second that a peer sends to each service.
+    pub fn take_peer_rates(
+        &mut self,
+        now: Duration,
+        peer: &InstanceName,
+        rates: HashMap<ServiceName, f64>,
+    ) {
+        self.peer_rates.insert(peer.clone(), (now, rates));
+        self.peer_rates
+            .retain(|_, (told_at, _)| now.saturating_sub(*told_at) < PEER_LOAD_TTL);
+    }
+
+    /// What a plan for a service's capacity is made from.
+    pub fn capacity_view(&self, now: Duration, service: &ServicePolicy) -> CapacityView {
+        let mut view = CapacityView {
+            prefill_rate_per_s: PREFILL_TOKENS_PER_MS * 1_000.0,
+            slots: service.engine.map_or(0, |engine| engine.slots),
+            ..CapacityView::default()
+        };
+        let own = self.prefill_rates.get(&service.name);
+        view.prefill_tokens_per_s = own.map_or(0.0, |rate| rate.at(now));
+        for (_, rates) in self.peer_rates.values() {
+            view.prefill_tokens_per_s += rates.get(&service.name).copied().unwrap_or(0.0);
+        }
+        for server in self.servers.values() {
+            let record = &server.record;
+            if record.service != service.name {
+                continue;
+            }
+            let key = (record.data_centre.clone(), record.spot);
+            let count = view.counts.entry(key).or_default();
+            match record.leaving {
+                true => count.leaving += 1,
+                false => count.ready += 1,
+            }
+            view.running += server.running();
+        }
+        view
+    }
+
     /// Chooses a server for an attempt and counts the attempt there.
     pub fn place(&mut self, now: Duration, ask: PlaceAsk<'_>) -> Result<Placed> {
         let prefixes = ask.prompt.map(Prompt::prefixes).unwrap_or_default();
@@ -208,7 +324,8 @@
         let Some((cost_ms, id)) = best else {
             return Err(self.none_ready(&ask));
         };
-        Ok(self.commit(now, &id, &ask, &prefixes, cost_ms))
+        let at_home = home.as_ref() == Some(&id);
+        Ok(self.commit(now, &id, &ask, &prefixes, at_home, cost_ms))
     }
 
     /// Ends an attempt counted by [`place`](Self::place).
@@ -239,6 +356,7 @@
         id: &ServerName,
         ask: &PlaceAsk<'_>,
         prefixes: &PrefixHashes,
+        at_home: bool,
         cost_ms: f64,
     ) -> Placed {
         let server = self.servers.get_mut(id).expect("chosen among the servers");
@@ -248,10 +366,12 @@
         }
         let mut cached_tokens = 0;
         if let Some(prompt) = ask.prompt {
-            let cached_parts = server.prefixes.cached_blocks(prefixes);
+            let cached_parts = server.cached_parts(prompt, prefixes, at_home);
             cached_tokens = prompt.tokens_in(cached_parts);
-            let work_ms =
-                f64::from(prompt.tokens - cached_tokens.min(prompt.tokens)) / PREFILL_TOKENS_PER_MS;
+            let uncached = f64::from(prompt.tokens - cached_tokens.min(prompt.tokens));
+            let work_ms = uncached / PREFILL_TOKENS_PER_MS;
+            let rate = self.prefill_rates.entry(ask.service.clone()).or_default();
+            rate.add(now, uncached);
             server.prefill_until =
                 server.prefill_until.max(now) + Duration::from_secs_f64(work_ms / 1_000.0);
             server.prefixes.record(now, prefixes);
@@ -303,12 +423,9 @@
             let load = f64::from(server.running()) / f64::from(server.record.slots.max(1));
             return cost + load * PLAIN_CALL_COST_MS;
         };
-        let cached_parts = match at_home {
-            true => prompt.shared_count(),
-            false => server.prefixes.cached_blocks(prefixes),
-        };
+        let cached_parts = server.cached_parts(prompt, prefixes, at_home);
         let uncached = prompt.tokens - prompt.tokens_in(cached_parts).min(prompt.tokens);
-        let backlog = server.prefill_until.saturating_sub(now);
+        let backlog = server.backlog(now);
         cost += f64::from(uncached) / PREFILL_TOKENS_PER_MS;
         cost += backlog.as_secs_f64() * 1_000.0;
         cost += f64::from(server.running()) * RUNNING_COST_MS;
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -16,6 +16,8 @@
     pub data_centre: DataCentreName,
     /// Name of the instance, unique.
     pub instance: InstanceName,
+    /// Units by which all instances together may exceed an account's limit.
+    pub limit_tolerance_units: f64,
     /// Longest time since the policy was last proved to be the newest.
     pub policy_age_max: Duration,
     /// Length of a usage window.
@@ -34,39 +36,54 @@
     pub draining: Cell<bool>,
     /// Backend servers.
     pub fleet: RefCell<Fleet>,
+    /// Usage window in which the instance started.
+    pub first_window: UsageWindow,
     /// Calls in progress.
     pub in_flight: Cell<u32>,
+    /// Start of this life in milliseconds since 1970; tells lives of one instance apart.
+    pub life: u64,
     /// Limits of client accounts.
     pub limits: RefCell<UseLimits>,
     /// Connections to backend servers.
     pub links: Rc<ServerLinks>,
     /// Instruments.
     pub metrics: Metrics,
+    /// Other instances.
+    pub peers: RefCell<Peers>,
     /// Settings.
     pub settings: ServingSettings,
     /// Division between the services of a route.
     pub shares: RefCell<ShareBook>,
     /// Calls that began to run.
     pub usage: RefCell<UsageBook>,
+    /// True time of day.
+    pub wall_clock: RefCell<WallClock>,
 }
 
 impl Serving {
     /// Creates the state of an instance that has no policy and knows no server.
     pub fn new(settings: ServingSettings, dialect: Box<dyn Dialect>, metrics: Metrics) -> Self {
         let seed = xxh3_64(settings.instance.as_bytes());
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        // A clock before 1970 is corrected by the peers' like any other wrong one.
+        let unix = since.unwrap_or_default();
         Self {
             book: RefCell::default(),
             budget: RefCell::default(),
             dialect,
             draining: Cell::new(false),
             fleet: RefCell::new(Fleet::new(settings.data_centre.clone())),
+            first_window: window_of(unix, settings.usage_window),
             in_flight: Cell::new(0),
-            limits: RefCell::default(),
+            life: unix.as_millis() as u64,
+            limits: RefCell::new(UseLimits::new(settings.limit_tolerance_units)),
             links: Rc::default(),
             metrics,
+            peers: RefCell::default(),
             settings,
             shares: RefCell::new(ShareBook::new(seed)),
             usage: RefCell::default(),
+            wall_clock: RefCell::new(WallClock::new(boot_time(), unix)),
         }
     }
 
@@ -79,10 +96,17 @@
         !self.draining.get() && fresh.is_ok()
     }
 
+    /// Estimate of the time since 1970.
+    pub fn unix_now(&self) -> Duration {
+        self.wall_clock.borrow().unix(boot_time())
+    }
+
     /// Window of time that a call belongs to which begins to run now.
     pub fn usage_window_now(&self) -> UsageWindow {
-        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        let now = since.unwrap_or_default();
-        (now.as_millis() / self.settings.usage_window.as_millis().max(1)) as UsageWindow
+        window_of(self.unix_now(), self.settings.usage_window)
     }
 }
+
+fn window_of(unix: Duration, length: Duration) -> UsageWindow {
+    (unix.as_millis() / length.as_millis().max(1)) as UsageWindow
+}
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -14,6 +14,12 @@
 /// Part of the grace time kept for the end of the process.
 const END_TIME: Duration = Duration::from_millis(400);
 
+/// Time for dropping the own address from the log at the end.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time that a read of the instances' topic waits; instances come and go rarely.
+const INSTANCES_WAIT: Duration = Duration::from_secs(10);
+
 /// Pause between looks at the calls in progress during a stop.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -24,12 +30,18 @@
 pub struct ServingParts {
     /// Callers' listener.
     pub callers: SocketAddr,
+    /// The platform's API for capacity and usage, if there is one.
+    pub cloud: Option<Rc<dyn Cloud>>,
     /// Decodes an operators' record; `None` for one that holds no policy.
     pub decode_policy: fn(&KeyedRecord) -> Result<Option<Arc<Policy>>>,
     /// Decodes a server's record from its id and value.
     pub decode_server: fn(&str, &[u8]) -> Result<ServerRecord>,
     /// Time between the request to stop and the kill.
     pub grace: Duration,
+    /// The log service.
+    pub log: Rc<dyn TopicLog>,
+    /// Address for digests.
+    pub peer_address: SocketAddr,
     /// Operators' topic.
     pub policies: Follow,
     /// Servers' topic.
@@ -65,9 +77,22 @@
     );
     follow_policies(&serving, parts.policies, parts.decode_policy, &shutdown);
     follow_servers(&serving, parts.servers, parts.decode_server, &shutdown);
+    let socket = bind_gossip(parts.peer_address).await?;
+    actix_rt::spawn(run_gossip(serving.clone(), socket, shutdown.clone()));
+    follow_peers(&serving, parts.log.clone(), parts.peer_address, &shutdown);
+    if let Some(cloud) = parts.cloud {
+        let duties = Duties::new(serving.clone(), parts.log.clone(), cloud);
+        actix_rt::spawn(duties.run(shutdown.clone()));
+    }
     actix_rt::spawn(keep_house(serving.clone(), shutdown.clone()));
     let _ = terminate.recv().await;
     stop(&serving, parts.grace, &accepting, &closing).await;
+    let leave = parts
+        .log
+        .put(INSTANCES_TOPIC, &serving.settings.instance, Bytes::new());
+    if tokio::time::timeout(LEAVE_TIMEOUT, leave).await.is_err() {
+        warn!("peer entry was not dropped in time; peers notice the silence");
+    }
     shutdown.cancel();
     Ok(())
 }
@@ -122,6 +147,33 @@
     actix_rt::spawn(follow.run(tell, shutdown.clone()));
 }
 
+/// Enters the own address and follows those of the peers.
+fn follow_peers(
+    serving: &Rc<Serving>,
+    log: Rc<dyn TopicLog>,
+    address: SocketAddr,
+    shutdown: &CancellationToken,
+) {
+    let follow = Follow {
+        log: log.clone(),
+        pause: Duration::ZERO,
+        topic: INSTANCES_TOPIC,
+        wait: INSTANCES_WAIT,
+    };
+    let serving = serving.clone();
+    let shutdown = shutdown.clone();
+    actix_rt::spawn(async move {
+        enter(&serving, log.as_ref(), address).await;
+        let own = serving.settings.instance.clone();
+        let tell = move |followed| {
+            if let Followed::Change(record) = followed {
+                serving.peers.borrow_mut().take_record(&record, &own);
+            }
+        };
+        follow.run(tell, shutdown).await;
+    });
+}
+
 fn take_policy(serving: &Serving, policy: Arc<Policy>, offset: LogOffset) {
     let version = policy.version;
     let taken = serving.book.borrow_mut().offer(policy);
--- a/src/topic_log.rs
+++ b/src/topic_log.rs
@@ -40,13 +40,22 @@
 
 /// The log service.
 pub trait TopicLog {
-    /// Appends a record if the topic ends at `at`.
-    fn append_at(
-        &self,
+    /// Appends a keyed record if the topic ends at `at`.
+    fn append_at<'a>(
+        &'a self,
         topic: &'static str,
         at: LogOffset,
-        record: Bytes,
-    ) -> LocalBoxFuture<'_, Result<AppendEnd>>;
+        key: &'a str,
+        value: Bytes,
+    ) -> LocalBoxFuture<'a, Result<AppendEnd>>;
+
+    /// Appends a keyed record; an empty value drops the key.
+    fn put<'a>(
+        &'a self,
+        topic: &'static str,
+        key: &'a str,
+        value: Bytes,
+    ) -> LocalBoxFuture<'a, Result>;
 
     /// Reads a page of the newest records by key.
     fn newest(
@@ -64,6 +73,15 @@
     ) -> LocalBoxFuture<'_, Result<TopicRead>>;
 }
 
+/// Joins the raw record of a keyed topic; keys are names of at most 255 bytes.
+pub fn raw_record(key: &str, value: &[u8]) -> Bytes {
+    let mut raw = BytesMut::with_capacity(1 + key.len() + value.len());
+    raw.extend_from_slice(&[key.len() as u8]);
+    raw.extend_from_slice(key.as_bytes());
+    raw.extend_from_slice(value);
+    raw.freeze()
+}
+
 /// Cuts the raw record of a keyed topic: length of the key, key, value.
 pub fn keyed_record(offset: LogOffset, raw: &Bytes) -> Result<KeyedRecord> {
     let malformed = || Error::LogService {
--- a/src/usage_book.rs
+++ b/src/usage_book.rs
@@ -5,6 +5,9 @@
 /// Windows kept: a report is due a few windows after the window's end.
 const WINDOWS_MAX: usize = 8;
 
+/// Windows told to peers: the current one and those that are not reported yet.
+const WINDOWS_TOLD: usize = 3;
+
 /// Counts of one window by account.
 pub type UsageCounts = BTreeMap<AccountName, u64>;
 
@@ -23,9 +26,12 @@
         drop_oldest(&mut self.own);
     }
 
-    /// Own counts of the windows kept.
-    pub fn own(&self) -> &BTreeMap<UsageWindow, UsageCounts> {
-        &self.own
+    /// Own counts of the newest windows, to tell peers.
+    pub fn newest_own(&self) -> BTreeMap<UsageWindow, UsageCounts> {
+        let newest = self.own.iter().rev().take(WINDOWS_TOLD);
+        newest
+            .map(|(window, counts)| (*window, counts.clone()))
+            .collect()
     }
 
     /// Takes the counts that one life of a peer told; they only grow.
--- a/src/use_limits.rs
+++ b/src/use_limits.rs
@@ -6,22 +6,21 @@
 
 use super::*;
 
-/// Time over which demand is averaged: long enough to smooth bursts, short enough to follow
-/// callers that move to another instance.
-const DEMAND_SPAN: Duration = Duration::from_secs(4);
-
 /// Least share of an instance, so that an account's first call at an instance is not refused.
 const SHARE_MIN: f64 = 0.02;
 
+/// Most times its share that an instance may use while all demand is within the limit: calls come
+/// in clumps, and nobody is hurt by them then.
+const UNUSED_FACTOR_MAX: f64 = 3.0;
+
 /// Time for which the demand of a silent instance counts on; longer than usual partitions.
 pub const SILENT_DEMAND_TTL: Duration = Duration::from_secs(15);
 
 #[derive(Debug)]
 struct AccountUse {
     bucket: Bucket,
-    /// Units a second that callers asked for here, averaged.
-    demand_per_s: f64,
-    demand_at: Duration,
+    /// Units a second that callers asked for here.
+    demand: DecayingRate,
 }
 
 #[derive(Debug)]
@@ -35,27 +34,39 @@
 pub struct UseLimits {
     accounts: HashMap<AccountName, AccountUse>,
     peers: HashMap<InstanceName, PeerDemand>,
+    tolerance_units: f64,
 }
 
 impl UseLimits {
+    /// Creates the limits; `tolerance_units` is what all instances together may exceed a limit
+    /// by, since shares follow demand with a lag.
+    pub fn new(tolerance_units: f64) -> Self {
+        Self {
+            tolerance_units,
+            ..Self::default()
+        }
+    }
+
     /// Charges a call of `units` to its account, or tells when to come back.
     pub fn admit(&mut self, now: Duration, account: &AccountPolicy, units: f64) -> Result {
         let Some(limit) = account.limit else {
             return Ok(());
         };
         let peers_demand = self.peers_demand(now, &account.name);
+        let instances = (self.peers.len() + 1) as f64;
+        let tolerance = self.tolerance_units / instances;
         let entry = self.accounts.entry(account.name.clone());
         let account_use = entry.or_insert_with(|| AccountUse {
-            bucket: Bucket::new(now, limit.burst * SHARE_MIN),
-            demand_at: now,
-            demand_per_s: 0.0,
+            bucket: Bucket::new(now, limit.burst / instances + tolerance),
+            demand: DecayingRate::default(),
         });
-        account_use.add_demand(now, units);
-        let share = share_of(account_use.demand_per_s, peers_demand);
-        let rate_per_s = limit.rate_per_s * share;
-        account_use
-            .bucket
-            .refill(now, rate_per_s, (limit.burst * share).max(units));
+        account_use.demand.add(now, units);
+        let own_demand = account_use.demand.at(now);
+        let share = share_of(own_demand, peers_demand);
+        let unused = limit.rate_per_s / (own_demand + peers_demand).max(1.0);
+        let rate_per_s = limit.rate_per_s * share * unused.clamp(1.0, UNUSED_FACTOR_MAX);
+        let capacity = (limit.burst * share + tolerance).max(units);
+        account_use.bucket.refill(now, rate_per_s, capacity);
         if account_use.bucket.level < units && !is_off(Safeguard::AccountLimit) {
             let wait = account_use.bucket.wait(units, rate_per_s);
             return Err(Error::AccountLimit {
@@ -95,8 +106,7 @@
     pub fn demand(&mut self, now: Duration) -> HashMap<AccountName, f64> {
         let mut by_account = HashMap::new();
         for (name, account_use) in &mut self.accounts {
-            account_use.add_demand(now, 0.0);
-            by_account.insert(name.clone(), account_use.demand_per_s);
+            by_account.insert(name.clone(), account_use.demand.at(now));
         }
         by_account
     }
@@ -113,17 +123,6 @@
     }
 }
 
-impl AccountUse {
-    /// Decays the average to `now` and adds what a call asks for.
-    fn add_demand(&mut self, now: Duration, units: f64) {
-        let elapsed = now.saturating_sub(self.demand_at).as_secs_f64();
-        self.demand_at = now;
-        let span = DEMAND_SPAN.as_secs_f64();
-        self.demand_per_s *= (-elapsed / span).exp();
-        self.demand_per_s += units / span;
-    }
-}
-
 fn share_of(own: f64, peers: f64) -> f64 {
     if peers <= 0.0 {
         return 1.0;
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -515,6 +515,114 @@
     #[prost(message, repeated, tag = "1")]
     pub loads: ::prost::alloc::vec::Vec<ServerLoad>,
 }
+/// Where an instance can be reached, in the log, by instance name.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct InstanceRecord {
+    #[prost(string, tag = "1")]
+    pub peer_address: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// Start of its life in milliseconds since 1970.
+    #[prost(uint64, tag = "3")]
+    pub life: u64,
+}
+/// What an instance tells its peers, in one datagram.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PeerDigest {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub life: u64,
+    /// Sender's clock in milliseconds, which runs while its machine is suspended.
+    #[prost(uint64, tag = "3")]
+    pub sent_ms: u64,
+    /// The receiver's own sent_ms that the sender heard last; 0 if it heard none.
+    #[prost(uint64, tag = "4")]
+    pub echoed_ms: u64,
+    /// Sender's estimate of the time since 1970.
+    #[prost(uint64, tag = "5")]
+    pub unix_ms: u64,
+    #[prost(uint64, tag = "6")]
+    pub policy_version: u64,
+    /// Time since the sender's policy was proved to be the newest.
+    #[prost(uint64, optional, tag = "7")]
+    pub policy_age_ms: ::core::option::Option<u64>,
+    #[prost(message, repeated, tag = "8")]
+    pub loads: ::prost::alloc::vec::Vec<ServerUse>,
+    #[prost(message, repeated, tag = "9")]
+    pub demands: ::prost::alloc::vec::Vec<AccountDemand>,
+    #[prost(message, repeated, tag = "10")]
+    pub usage: ::prost::alloc::vec::Vec<UsageWindowCounts>,
+    #[prost(message, repeated, tag = "11")]
+    pub work: ::prost::alloc::vec::Vec<ServiceWork>,
+    #[prost(bool, tag = "12")]
+    pub leaving: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServerUse {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    #[prost(uint32, tag = "3")]
+    pub backlog_ms: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AccountDemand {
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(double, tag = "2")]
+    pub units_per_s: f64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct UsageWindowCounts {
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub counts: ::prost::alloc::vec::Vec<UsageCount>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UsageCount {
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub calls: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ServiceWork {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(double, tag = "2")]
+    pub prefill_tokens_per_s: f64,
+}
+/// A holder's entry in the duty log.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct DutyRecord {
+    #[prost(string, tag = "1")]
+    pub holder: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub life: u64,
+    #[prost(oneof = "duty_record::Entry", tags = "3, 4")]
+    pub entry: ::core::option::Option<duty_record::Entry>,
+}
+/// Nested message and enum types in `DutyRecord`.
+pub mod duty_record {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Entry {
+        /// The holder takes or renews the lease.
+        #[prost(message, tag = "3")]
+        Lease(super::LeaseEntry),
+        /// A report that is sent, and sent again, with just these counts.
+        #[prost(message, tag = "4")]
+        Usage(super::UsageWindowCounts),
+    }
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LeaseEntry {
+    /// Duration of the lease in milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub duration_ms: u64,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum ClaimVerdict {
