Limit accounts by what all instances admitted over the window; reload on SIGHUP

Ruled out: a smaller burst alone; the surplus comes from the lag of shares.

Change: instances tell what they admitted over the window; far below the limit all is admitted, near it shares hold, at it nothing is admitted. SIGHUP reads the settings anew.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -189,7 +189,7 @@
     serving
         .book
         .borrow()
-        .fresh(now, serving.settings.policy_age_max)
+        .fresh(now, serving.policy_age_max.get())
 }
 
 fn body_bound(serving: &Serving) -> usize {
@@ -264,7 +264,7 @@
                     && let Some(account) = &self.account
                 {
                     let mut limits = self.serving.limits.borrow_mut();
-                    limits.give_back(account, self.units);
+                    limits.give_back(boot_time(), account, self.units);
                 }
                 refuse(
                     &self.serving,
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -188,7 +188,7 @@
         let silent = peer
             .heard
             .is_none_or(|(heard_at, _)| now.saturating_sub(heard_at) > SILENT_AFTER);
-        if silent && round % SILENT_ROUNDS != 0 {
+        if silent && !round.is_multiple_of(SILENT_ROUNDS) {
             continue;
         }
         targets.push((peer.address, peer.heard.map(|(_, sent)| sent)));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -242,6 +242,7 @@
 use crate::server_link::Reached;
 use crate::server_link::ServerLinks;
 use crate::serving::Serving;
+use crate::serving::ServingSettings;
 use crate::sessions::CONTROL_CAPACITY;
 use crate::sessions::CloseSession;
 use crate::sessions::OpenSession;
@@ -276,6 +277,7 @@
 use crate::topic_log::keyed_record;
 use crate::usage_book::UsageBook;
 use crate::usage_book::UsageCounts;
+use crate::use_limits::AccountDemand;
 use crate::use_limits::UseLimits;
 use crate::wall_clock::WallClock;
 
--- a/src/peer_news.rs
+++ b/src/peer_news.rs
@@ -7,8 +7,8 @@
 /// What an instance tells a peer.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct PeerNews {
-    /// Demand in units a second by account.
-    pub demands: HashMap<AccountName, f64>,
+    /// What was admitted and asked for, by account.
+    pub demands: HashMap<AccountName, AccountDemand>,
     /// The receiver's time of sending that the sender heard last.
     pub echoed: Option<Duration>,
     /// Sender.
@@ -59,9 +59,10 @@
         let demands = digest
             .demands
             .iter()
-            .map(|(account, units)| wire::AccountDemand {
+            .map(|(account, demand)| wire::AccountDemand {
                 account: account.to_string(),
-                units_per_s: *units,
+                admitted: demand.admitted,
+                asked_per_s: demand.asked_per_s,
             });
         let usage = digest
             .usage
@@ -104,7 +105,13 @@
         let work = wire.work.into_iter();
         Self {
             demands: demands
-                .map(|demand| (demand.account.into(), demand.units_per_s))
+                .map(|wire| {
+                    let demand = AccountDemand {
+                        admitted: wire.admitted,
+                        asked_per_s: wire.asked_per_s,
+                    };
+                    (wire.account.into(), demand)
+                })
                 .collect(),
             echoed: (wire.echoed_ms > 0).then(|| millis(wire.echoed_ms)),
             instance: wire.instance.into(),
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -16,8 +16,8 @@
     pub data_centre: DataCentreName,
     /// Name of the instance, unique.
     pub instance: InstanceName,
-    /// Units by which all instances together may exceed an account's limit.
-    pub limit_tolerance_units: f64,
+    /// Time over which limits of accounts hold.
+    pub limit_window: Duration,
     /// Longest time since the policy was last proved to be the newest.
     pub policy_age_max: Duration,
     /// Length of a usage window.
@@ -50,7 +50,9 @@
     pub metrics: Metrics,
     /// Other instances.
     pub peers: RefCell<Peers>,
-    /// Settings.
+    /// Longest time since the policy was last proved to be the newest.
+    pub policy_age_max: Cell<Duration>,
+    /// Settings at the start.
     pub settings: ServingSettings,
     /// Division between the services of a route.
     pub shares: RefCell<ShareBook>,
@@ -76,10 +78,11 @@
             first_window: window_of(unix, settings.usage_window),
             in_flight: Cell::new(0),
             life: unix.as_millis() as u64,
-            limits: RefCell::new(UseLimits::new(settings.limit_tolerance_units)),
+            limits: RefCell::new(UseLimits::new(settings.limit_window)),
             links: Rc::default(),
             metrics,
             peers: RefCell::default(),
+            policy_age_max: Cell::new(settings.policy_age_max),
             settings,
             shares: RefCell::new(ShareBook::new(seed)),
             usage: RefCell::default(),
@@ -92,10 +95,17 @@
         let fresh = self
             .book
             .borrow()
-            .fresh(boot_time(), self.settings.policy_age_max);
+            .fresh(boot_time(), self.policy_age_max.get());
         !self.draining.get() && fresh.is_ok()
     }
 
+    /// Takes what can change while the instance runs; the rest needs a restart.
+    pub fn reload(&self, settings: ServingSettings) {
+        self.policy_age_max.set(settings.policy_age_max);
+        let mut limits = self.limits.borrow_mut();
+        limits.set_window(settings.limit_window);
+    }
+
     /// Estimate of the time since 1970.
     pub fn unix_now(&self) -> Duration {
         self.wall_clock.borrow().unix(boot_time())
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -4,6 +4,7 @@
 
 use std::rc::Rc;
 
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -44,6 +45,8 @@
     pub peer_address: SocketAddr,
     /// Operators' topic.
     pub policies: Follow,
+    /// Reads the settings anew.
+    pub reload: fn() -> Result<ServingSettings>,
     /// Servers' topic.
     pub servers: Follow,
     /// Listener for readiness and metrics.
@@ -55,10 +58,8 @@
     let accepting = CancellationToken::new();
     let closing = CancellationToken::new();
     let shutdown = CancellationToken::new();
-    let mut terminate = signal(SignalKind::terminate()).map_err(|error| Error::Address {
-        address: "signal handler".to_owned(),
-        reason: error.to_string(),
-    })?;
+    let mut terminate = handle_signal(SignalKind::terminate())?;
+    let mut reload = handle_signal(SignalKind::hangup())?;
     for (kind, address) in [
         (FrontKind::Callers, parts.callers),
         (FrontKind::Status, parts.status),
@@ -85,7 +86,18 @@
         actix_rt::spawn(duties.run(shutdown.clone()));
     }
     actix_rt::spawn(keep_house(serving.clone(), shutdown.clone()));
-    let _ = terminate.recv().await;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => match (parts.reload)() {
+                Ok(settings) => {
+                    info!("reload instance={} settings={settings:?}", settings.instance);
+                    serving.reload(settings);
+                }
+                Err(error) => warn!("reload failed, the settings in force stay: {error}"),
+            },
+        }
+    }
     stop(&serving, parts.grace, &accepting, &closing).await;
     let leave = parts
         .log
@@ -97,6 +109,13 @@
     Ok(())
 }
 
+fn handle_signal(kind: SignalKind) -> Result<Signal> {
+    signal(kind).map_err(|error| Error::Address {
+        address: "signal handler".to_owned(),
+        reason: error.to_string(),
+    })
+}
+
 /// Stops in order: readiness off, time for the balancer to notice, calls end, connections close.
 async fn stop(
     serving: &Serving,
--- a/src/use_limits.rs
+++ b/src/use_limits.rs
@@ -1,97 +1,133 @@
 //! Limits on what client accounts use over all instances, in units such as tokens.
 //!
-//! Each instance spends a share of an account's limit. Shares follow demand: an instance's share
-//! is its part of the demand that all instances tell each other. The demand of an instance that
-//! fell silent counts on for a while, so that the two sides of a cut do not both spend its share.
+//! The load pattern this answers: one account sends many times its usual within a second, while
+//! calls of other accounts come in clumps far below their limits. Instances tell each other what
+//! they admitted over the limit's window and what was asked of them. While an account's use is
+//! far below its limit, everything is admitted; near the limit each instance spends a share that
+//! follows its part of the demand; at the limit nothing is admitted. The demand of an instance
+//! that fell silent counts on for a while, so that the two sides of a cut do not both spend its
+//! share.
 
 use super::*;
 
 /// Least share of an instance, so that an account's first call at an instance is not refused.
 const SHARE_MIN: f64 = 0.02;
 
-/// Most times its share that an instance may use while all demand is within the limit: calls come
-/// in clumps, and nobody is hurt by them then.
-const UNUSED_FACTOR_MAX: f64 = 3.0;
+/// Part of a window's allowance below which everything is admitted: what all instances admit
+/// before they hear of each other fits into the rest.
+const FREE_PART: f64 = 0.6;
 
 /// Time for which the demand of a silent instance counts on; longer than usual partitions.
 pub const SILENT_DEMAND_TTL: Duration = Duration::from_secs(15);
 
+/// Slots that a window is divided into.
+const WINDOW_SLOTS: u64 = 16;
+
+/// Least time told to come back after when the window is used up.
+const WINDOW_RETRY: Duration = Duration::from_millis(500);
+
+/// What one instance admits and is asked for, for one account.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct AccountDemand {
+    /// Units a second that callers asked for.
+    pub asked_per_s: f64,
+    /// Units admitted over the last window.
+    pub admitted: f64,
+}
+
 #[derive(Debug)]
 struct AccountUse {
+    admitted: SlidingSum,
+    asked: DecayingRate,
     bucket: Bucket,
-    /// Units a second that callers asked for here.
-    demand: DecayingRate,
 }
 
 #[derive(Debug)]
 struct PeerDemand {
-    by_account: HashMap<AccountName, f64>,
+    by_account: HashMap<AccountName, AccountDemand>,
     told_at: Duration,
 }
 
-/// Use of all accounts at this instance.
+/// Sum over a sliding window, in slots.
 #[derive(Debug, Default)]
+struct SlidingSum {
+    slots: VecDeque<(u64, f64)>,
+}
+
+/// Use of all accounts at this instance.
+#[derive(Debug)]
 pub struct UseLimits {
     accounts: HashMap<AccountName, AccountUse>,
     peers: HashMap<InstanceName, PeerDemand>,
-    tolerance_units: f64,
+    window: Duration,
 }
 
 impl UseLimits {
-    /// Creates the limits; `tolerance_units` is what all instances together may exceed a limit
-    /// by, since shares follow demand with a lag.
-    pub fn new(tolerance_units: f64) -> Self {
+    /// Creates the limits; a limit holds over any `window`, beside its burst.
+    pub fn new(window: Duration) -> Self {
         Self {
-            tolerance_units,
-            ..Self::default()
+            accounts: HashMap::new(),
+            peers: HashMap::new(),
+            window,
         }
     }
 
+    /// Sets the window over which limits hold.
+    pub fn set_window(&mut self, window: Duration) {
+        self.window = window;
+    }
+
     /// Charges a call of `units` to its account, or tells when to come back.
     pub fn admit(&mut self, now: Duration, account: &AccountPolicy, units: f64) -> Result {
         let Some(limit) = account.limit else {
             return Ok(());
         };
-        let peers_demand = self.peers_demand(now, &account.name);
+        let peers = self.peers_demand(now, &account.name);
         let instances = (self.peers.len() + 1) as f64;
-        let tolerance = self.tolerance_units / instances;
+        let slot = self.slot(now);
         let entry = self.accounts.entry(account.name.clone());
         let account_use = entry.or_insert_with(|| AccountUse {
-            bucket: Bucket::new(now, limit.burst / instances + tolerance),
-            demand: DecayingRate::default(),
+            admitted: SlidingSum::default(),
+            asked: DecayingRate::default(),
+            bucket: Bucket::new(now, limit.burst / instances),
         });
-        account_use.demand.add(now, units);
-        let own_demand = account_use.demand.at(now);
-        let share = share_of(own_demand, peers_demand);
-        let unused = limit.rate_per_s / (own_demand + peers_demand).max(1.0);
-        let rate_per_s = limit.rate_per_s * share * unused.clamp(1.0, UNUSED_FACTOR_MAX);
-        let capacity = (limit.burst * share + tolerance).max(units);
+        account_use.asked.add(now, units);
+        let allowance = limit.rate_per_s * self.window.as_secs_f64() + limit.burst;
+        let used = account_use.admitted.at(slot) + peers.admitted + units;
+        let share = share_of(account_use.asked.at(now), peers.asked_per_s);
+        let rate_per_s = limit.rate_per_s * share;
+        let capacity = (limit.burst * share).max(units);
         account_use.bucket.refill(now, rate_per_s, capacity);
-        if account_use.bucket.level < units && !is_off(Safeguard::AccountLimit) {
-            let wait = account_use.bucket.wait(units, rate_per_s);
+        let is_free = used < allowance * FREE_PART;
+        let fits = used < allowance && account_use.bucket.level >= units;
+        if !is_free && !fits && !is_off(Safeguard::AccountLimit) {
+            let wait = account_use.bucket.wait(units, rate_per_s).max(WINDOW_RETRY);
             return Err(Error::AccountLimit {
                 account: account.name.clone(),
                 limit: "units a second",
                 retry_after_ms: wait.as_millis() as u64,
             });
         }
-        account_use.bucket.level -= units;
+        account_use.bucket.level = (account_use.bucket.level - units).max(0.0);
+        account_use.admitted.add(slot, units);
         Ok(())
     }
 
     /// Gives back the units of a call that did not run.
-    pub fn give_back(&mut self, account: &AccountName, units: f64) {
+    pub fn give_back(&mut self, now: Duration, account: &AccountName, units: f64) {
+        let slot = self.slot(now);
         if let Some(account_use) = self.accounts.get_mut(account) {
             account_use.bucket.level += units;
+            account_use.admitted.add(slot, -units);
         }
     }
 
-    /// Takes a peer's demand in units a second by account.
+    /// Takes what a peer tells of all accounts.
     pub fn take_peer_demand(
         &mut self,
         now: Duration,
         peer: &InstanceName,
-        by_account: HashMap<AccountName, f64>,
+        by_account: HashMap<AccountName, AccountDemand>,
     ) {
         let demand = PeerDemand {
             by_account,
@@ -102,25 +138,57 @@
             .retain(|_, peer| now.saturating_sub(peer.told_at) < SILENT_DEMAND_TTL);
     }
 
-    /// Own demand in units a second by account.
-    pub fn demand(&mut self, now: Duration) -> HashMap<AccountName, f64> {
+    /// What to tell peers of all accounts.
+    pub fn demand(&mut self, now: Duration) -> HashMap<AccountName, AccountDemand> {
+        let slot = self.slot(now);
         let mut by_account = HashMap::new();
         for (name, account_use) in &mut self.accounts {
-            by_account.insert(name.clone(), account_use.demand.at(now));
+            let demand = AccountDemand {
+                admitted: account_use.admitted.at(slot),
+                asked_per_s: account_use.asked.at(now),
+            };
+            by_account.insert(name.clone(), demand);
         }
         by_account
     }
 
-    fn peers_demand(&self, now: Duration, account: &AccountName) -> f64 {
-        let mut sum = 0.0;
+    fn peers_demand(&self, now: Duration, account: &AccountName) -> AccountDemand {
+        let mut sum = AccountDemand::default();
         for peer in self.peers.values() {
             if now.saturating_sub(peer.told_at) >= SILENT_DEMAND_TTL {
                 continue;
             }
-            sum += peer.by_account.get(account).copied().unwrap_or(0.0);
+            let Some(demand) = peer.by_account.get(account) else {
+                continue;
+            };
+            sum.asked_per_s += demand.asked_per_s;
+            sum.admitted += demand.admitted;
         }
         sum
     }
+
+    fn slot(&self, now: Duration) -> u64 {
+        let slot = self.window.as_millis() as u64 / WINDOW_SLOTS;
+        now.as_millis() as u64 / slot.max(1)
+    }
+}
+
+impl SlidingSum {
+    fn add(&mut self, slot: u64, amount: f64) {
+        match self.slots.back_mut() {
+            Some((last, sum)) if *last == slot => *sum += amount,
+            Some(_) | None => self.slots.push_back((slot, amount)),
+        }
+    }
+
+    fn at(&mut self, slot: u64) -> f64 {
+        while let Some((first, _)) = self.slots.front()
+            && first + WINDOW_SLOTS < slot
+        {
+            self.slots.pop_front();
+        }
+        self.slots.iter().map(|(_, sum)| sum).sum()
+    }
 }
 
 fn share_of(own: f64, peers: f64) -> f64 {
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -572,7 +572,9 @@
     #[prost(string, tag = "1")]
     pub account: ::prost::alloc::string::String,
     #[prost(double, tag = "2")]
-    pub units_per_s: f64,
+    pub asked_per_s: f64,
+    #[prost(double, tag = "3")]
+    pub admitted: f64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct UsageWindowCounts {
