Admit by shares alone until a restarted instance knows the limit's window

Change: an instance that is not part of a first start admits by its share alone for one window; until peers tell their demand its share is one over the instances that the log knows.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -75,6 +75,11 @@
         peer.heard = Some((now, sent));
     }
 
+    /// Peers that the log knows.
+    pub fn known_count(&self) -> usize {
+        self.by_name.len()
+    }
+
     /// Peers heard of late.
     pub fn live_count(&self, now: Duration) -> usize {
         let is_live = |peer: &&Peer| {
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -14,6 +14,8 @@
 pub struct ServingSettings {
     /// Data centre of the instance.
     pub data_centre: DataCentreName,
+    /// True if no instance ran before: nothing can have been admitted that is not known.
+    pub first_start: bool,
     /// Name of the instance, unique.
     pub instance: InstanceName,
     /// Time over which limits of accounts hold.
@@ -69,6 +71,10 @@
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         // A clock before 1970 is corrected by the peers' like any other wrong one.
         let unix = since.unwrap_or_default();
+        let unknown_until = match settings.first_start {
+            true => Duration::ZERO,
+            false => boot_time() + settings.limit_window,
+        };
         Self {
             book: RefCell::default(),
             budget: RefCell::default(),
@@ -78,7 +84,7 @@
             first_window: window_of(unix, settings.usage_window),
             in_flight: Cell::new(0),
             life: unix.as_millis() as u64,
-            limits: RefCell::new(UseLimits::new(settings.limit_window)),
+            limits: RefCell::new(UseLimits::new(settings.limit_window, unknown_until)),
             links: Rc::default(),
             metrics,
             peers: RefCell::default(),
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -186,7 +186,10 @@
         let own = serving.settings.instance.clone();
         let tell = move |followed| {
             if let Followed::Change(record) = followed {
-                serving.peers.borrow_mut().take_record(&record, &own);
+                let mut peers = serving.peers.borrow_mut();
+                peers.take_record(&record, &own);
+                let mut limits = serving.limits.borrow_mut();
+                limits.set_instances(peers.known_count() + 1);
             }
         };
         follow.run(tell, shutdown).await;
--- a/src/use_limits.rs
+++ b/src/use_limits.rs
@@ -20,6 +20,10 @@
 /// Time for which the demand of a silent instance counts on; longer than usual partitions.
 pub const SILENT_DEMAND_TTL: Duration = Duration::from_secs(15);
 
+/// Part of its share of a burst that a restarted instance may admit at once: what it admitted
+/// before is not known.
+const UNKNOWN_BURST_PART: f64 = 0.3;
+
 /// Slots that a window is divided into.
 const WINDOW_SLOTS: u64 = 16;
 
@@ -58,20 +62,32 @@
 #[derive(Debug)]
 pub struct UseLimits {
     accounts: HashMap<AccountName, AccountUse>,
+    /// Instances that the log knows, with this one.
+    instances: usize,
     peers: HashMap<InstanceName, PeerDemand>,
+    /// End of the time in which an earlier life may have admitted what this one does not know.
+    unknown_until: Duration,
     window: Duration,
 }
 
 impl UseLimits {
-    /// Creates the limits; a limit holds over any `window`, beside its burst.
-    pub fn new(window: Duration) -> Self {
+    /// Creates the limits; a limit holds over any `window`, beside its burst. What was admitted
+    /// before `unknown_until` less a window is not known.
+    pub fn new(window: Duration, unknown_until: Duration) -> Self {
         Self {
             accounts: HashMap::new(),
+            instances: 1,
             peers: HashMap::new(),
+            unknown_until,
             window,
         }
     }
 
+    /// Sets the number of instances that the log knows, with this one.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.instances = instances.max(1);
+    }
+
     /// Sets the window over which limits hold.
     pub fn set_window(&mut self, window: Duration) {
         self.window = window;
@@ -83,22 +99,30 @@
             return Ok(());
         };
         let peers = self.peers_demand(now, &account.name);
-        let instances = (self.peers.len() + 1) as f64;
+        let instances = self.instances as f64;
+        let knows_window = now >= self.unknown_until;
+        let first_part = match knows_window {
+            true => 1.0,
+            false => UNKNOWN_BURST_PART,
+        };
         let slot = self.slot(now);
         let entry = self.accounts.entry(account.name.clone());
         let account_use = entry.or_insert_with(|| AccountUse {
             admitted: SlidingSum::default(),
             asked: DecayingRate::default(),
-            bucket: Bucket::new(now, limit.burst / instances),
+            bucket: Bucket::new(now, limit.burst / instances * first_part),
         });
         account_use.asked.add(now, units);
         let allowance = limit.rate_per_s * self.window.as_secs_f64() + limit.burst;
         let used = account_use.admitted.at(slot) + peers.admitted + units;
-        let share = share_of(account_use.asked.at(now), peers.asked_per_s);
+        let share = match peers.asked_per_s > 0.0 {
+            true => share_of(account_use.asked.at(now), peers.asked_per_s),
+            false => 1.0 / instances,
+        };
         let rate_per_s = limit.rate_per_s * share;
         let capacity = (limit.burst * share).max(units);
         account_use.bucket.refill(now, rate_per_s, capacity);
-        let is_free = used < allowance * FREE_PART;
+        let is_free = knows_window && used < allowance * FREE_PART;
         let fits = used < allowance && account_use.bucket.level >= units;
         if !is_free && !fits && !is_off(Safeguard::AccountLimit) {
             let wait = account_use.bucket.wait(units, rate_per_s).max(WINDOW_RETRY);
@@ -192,8 +216,5 @@
 }
 
 fn share_of(own: f64, peers: f64) -> f64 {
-    if peers <= 0.0 {
-        return 1.0;
-    }
     (own / (own + peers)).max(SHARE_MIN)
 }
