--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,18 @@
+//! Decisions without I/O, replayed from the load and fault patterns that they answer.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "decisions/capacity.rs"]
+mod capacity;
+#[path = "decisions/fleet.rs"]
+mod fleet;
+#[path = "decisions/keyed_view.rs"]
+mod keyed_view;
+#[path = "decisions/lease.rs"]
+mod lease;
+#[path = "decisions/policy_book.rs"]
+mod policy_book;
+#[path = "decisions/use_limits.rs"]
+mod use_limits;
+#[path = "decisions/wall_clock.rs"]
+mod wall_clock;
--- /dev/null
+++ b/tests/decisions/fleet.rs
@@ -0,0 +1,130 @@
+//! Placement among registered servers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ebonyspread::ServerName;
+use ebonyspread::ServiceName;
+use ebonyspread::fleet::AttemptEnd;
+use ebonyspread::fleet::Fleet;
+use ebonyspread::fleet::PlaceAsk;
+use ebonyspread::fleet::Placed;
+use ebonyspread::fleet::ServerRecord;
+use ebonyspread::prompt::Prompt;
+use ebonyspread::prompt::PromptPart;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn record(index: u16) -> ServerRecord {
+    ServerRecord {
+        address: ([127, 0, 0, 1], 9_000 + index).into(),
+        born_ms: 1,
+        data_centre: format!("dc-{}", index % 3).into(),
+        id: format!("server-{index}").into(),
+        leaving: false,
+        report_number: 1,
+        service: "models".into(),
+        slots: 96,
+        spot: false,
+    }
+}
+
+fn fleet(data_centre: &str, count: u16) -> Fleet {
+    let mut fleet = Fleet::new(data_centre.into());
+    for index in 0..count {
+        fleet.report(record(index));
+    }
+    fleet
+}
+
+fn prompt(shared: u64, own: u64) -> Prompt {
+    let parts = [(shared, 6_300), (own, 2_890)];
+    let parts = parts.iter().map(|(hash, tokens)| PromptPart {
+        hash: *hash,
+        tokens: *tokens,
+    });
+    Prompt {
+        output_tokens_max: 50,
+        parts: parts.collect(),
+        tokens: 9_190,
+    }
+}
+
+fn place(fleet: &mut Fleet, now: Duration, prompt: &Prompt, tried: &[ServerName]) -> Placed {
+    let service = ServiceName::from("models");
+    let ask = PlaceAsk {
+        prompt: Some(prompt),
+        service: &service,
+        suspect: false,
+        tried,
+    };
+    fleet.place(now, ask).unwrap()
+}
+
+#[test]
+fn instances_agree_on_the_home_of_shared_parts_without_messages() {
+    for shared in 0..40 {
+        let mut homes = Vec::new();
+        for centre in ["dc-0", "dc-1", "dc-2"] {
+            let mut fleet = fleet(centre, 18);
+            let placed = place(&mut fleet, NOW, &prompt(shared, 1), &[]);
+            homes.push(placed.server);
+        }
+        assert!(homes.iter().all(|home| *home == homes[0]), "{homes:?}");
+    }
+}
+
+#[test]
+fn hot_shared_part_is_spread_once_its_home_is_busy() {
+    let mut fleet = fleet("dc-0", 6);
+    let mut counts: BTreeMap<ServerName, u32> = BTreeMap::new();
+    for own in 0..60 {
+        let placed = place(&mut fleet, NOW, &prompt(7, 1_000 + own), &[]);
+        *counts.entry(placed.server).or_default() += 1;
+    }
+    assert!(counts.len() >= 5, "{counts:?}");
+    assert!(counts.values().all(|count| *count <= 20), "{counts:?}");
+}
+
+#[test]
+fn leaving_server_gets_nothing_and_does_not_come_back_by_an_old_report() {
+    let mut fleet = fleet("dc-0", 2);
+    let mut leaving = record(0);
+    leaving.leaving = true;
+    assert!(fleet.report(leaving));
+    assert!(!fleet.report(record(0)));
+    for own in 0..20 {
+        let placed = place(&mut fleet, NOW, &prompt(own, own), &[]);
+        assert_eq!(placed.server, "server-1");
+    }
+}
+
+#[test]
+fn next_life_of_a_server_begins_with_nothing_believed_of_it() {
+    let mut fleet = fleet("dc-0", 1);
+    place(&mut fleet, NOW, &prompt(1, 1), &[]);
+    let mut reborn = record(0);
+    reborn.born_ms = 2;
+    assert!(fleet.report(reborn));
+    let server = fleet.servers().next().unwrap();
+    assert_eq!(server.running(), 0);
+    assert!(!fleet.report(record(0)), "an entry of the earlier life");
+}
+
+#[test]
+fn server_that_breaks_calls_is_left_out_for_a_while() {
+    let mut fleet = fleet("dc-0", 2);
+    let first = place(&mut fleet, NOW, &prompt(1, 1), &[]);
+    fleet.end_attempt(NOW, &first.server, false, AttemptEnd::Broken);
+    let second = place(&mut fleet, NOW, &prompt(1, 1), &[]);
+    assert_ne!(second.server, first.server);
+}
+
+#[test]
+fn call_is_not_sent_to_a_server_that_it_was_sent_to_before() {
+    let mut fleet = fleet("dc-0", 2);
+    let first = place(&mut fleet, NOW, &prompt(1, 1), &[]);
+    let tried = [first.server.clone()];
+    let second = place(&mut fleet, NOW, &prompt(1, 1), &tried);
+    assert_ne!(second.server, first.server);
+}
