Prove freshness from pages; notice cut data centres; let large calls borrow

Change: the last page proves that what was accepted before the first was asked for is known. A data centre without signs of life is probed by connections, left out, and its movable calls are moved. Calls over a share borrow from later ones. Broken calls cost a server 40 ms each and leave it out from the fourth in a row; one that cannot be reached is left out at once.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -249,8 +249,9 @@
                 let head = answer.head;
                 let relay = Relay {
                     _in_flight: InFlight::new(&self.serving),
-                    attempt: Some(attempt),
                     body: answer.body,
+                    centre: attempt.placed.data_centre.clone(),
+                    attempt: Some(attempt),
                     ended: false,
                     events: SseParser::default(),
                     exchange: self,
@@ -354,7 +355,18 @@
             },
         });
         let patience = self.patience();
-        let answer = match timeout_at(patience, sending).await {
+        let can_move = patience < self.ends_at;
+        let centre = attempt.placed.data_centre.clone();
+        let sent = tokio::select! {
+            biased;
+            sent = timeout_at(patience, sending) => sent,
+            () = wait_for_cut(&self.serving, &centre), if can_move => {
+                attempt.end = AttemptEnd::Broken;
+                self.sends += 1;
+                return Ok(Attempted::Lost("data centre was cut off".to_owned()));
+            }
+        };
+        let answer = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => return Ok(self.failed(&mut attempt, error)),
             Err(_) if patience < self.ends_at => {
@@ -567,6 +579,8 @@
     _in_flight: InFlight,
     attempt: Option<Attempt>,
     body: LinkBody,
+    /// Data centre of the server.
+    centre: DataCentreName,
     ended: bool,
     events: SseParser,
     exchange: Exchange,
@@ -583,7 +597,18 @@
                 return Some((Ok(events), self));
             }
             let ends_at = self.patience();
-            let chunk = match timeout_at(ends_at, self.body.next()).await {
+            let can_move = ends_at < self.exchange.ends_at;
+            let read = tokio::select! {
+                biased;
+                read = timeout_at(ends_at, self.body.next()) => read,
+                () = wait_for_cut(&self.exchange.serving, &self.centre), if can_move => {
+                    match self.go_on("data centre was cut off".to_owned()).await {
+                        Ok(()) => continue,
+                        Err(error) => return Some(self.end_broken(error)),
+                    }
+                }
+            };
+            let chunk = match read {
                 Ok(Some(Ok(chunk))) => chunk,
                 Ok(None) => return self.end_whole(),
                 Ok(Some(Err(error))) => match self.go_on(error.reason).await {
@@ -656,6 +681,7 @@
         let last_event_id = self.last_event_id.clone();
         match self.exchange.carry(last_event_id.as_deref()).await? {
             Carried::Stream(attempt, answer) => {
+                self.centre = attempt.placed.data_centre.clone();
                 self.attempt = Some(attempt);
                 self.body = answer.body;
                 Ok(())
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,13 +5,23 @@
 
 use super::*;
 
-/// A server whose connections fail is left out for this long, doubled by each failure in a row;
-/// a restart takes seconds, a lost packet less.
-const DOWN_FIRST: Duration = Duration::from_millis(300);
+/// A server that cannot be reached, or breaks one call after the other, is left out for this
+/// long, doubled by each failure in a row; a restart takes seconds, a lost packet less.
+const DOWN_FIRST: Duration = Duration::from_millis(500);
 
 /// Longest time for which a failing server is left out.
 const DOWN_MAX: Duration = Duration::from_secs(5);
 
+/// Broken calls in a row from which a server is left out. Fewer are borne: a server that loses
+/// some answers still gives the others.
+const BROKEN_IN_A_ROW_MAX: u32 = 4;
+
+/// Time that each broken call in a row adds to a server's cost.
+const BROKEN_COST_MS: f64 = 40.0;
+
+/// Time without a sign of life from a data centre after which it is asked for one.
+pub const CENTRE_SILENCE: Duration = Duration::from_millis(700);
+
 /// Prompt parts remembered for each server's cache.
 const CACHED_PARTS_MAX: usize = 4_096;
 
@@ -88,6 +98,11 @@
         }
     }
 
+    fn leave_out(&mut self, now: Duration, doublings: u32) {
+        let pause = (DOWN_FIRST * (1 << doublings.min(4))).min(DOWN_MAX);
+        self.down_until = now + pause;
+    }
+
     /// Calls of all instances that it runs.
     pub fn running(&self) -> u32 {
         let elsewhere: u32 = self.elsewhere.iter().map(|(.., load)| load.running).sum();
@@ -172,15 +187,25 @@
     pub address: SocketAddr,
     /// Prompt tokens believed to be in the server's cache.
     pub cached_tokens: u32,
+    /// Data centre of the server.
+    pub data_centre: DataCentreName,
     /// Name of the server.
     pub server: ServerName,
     /// Expected time until the answer begins.
     pub wait: Duration,
 }
 
+/// What is known of the way to a data centre.
+#[derive(Debug, Default)]
+struct CentreState {
+    heard_at: Duration,
+    unreachable: bool,
+}
+
 /// All registered servers.
 #[derive(Debug)]
 pub struct Fleet {
+    centres: BTreeMap<DataCentreName, CentreState>,
     data_centre: DataCentreName,
     /// Prompt tokens a second that peers send to each service.
     peer_rates: HashMap<InstanceName, (Duration, HashMap<ServiceName, f64>)>,
@@ -193,6 +218,7 @@
     /// Creates an empty fleet as seen from a data centre.
     pub fn new(data_centre: DataCentreName) -> Self {
         Self {
+            centres: BTreeMap::new(),
             data_centre,
             peer_rates: HashMap::new(),
             prefill_rates: HashMap::new(),
@@ -232,6 +258,57 @@
         self.servers.values()
     }
 
+    /// Takes a sign of life from a data centre: an answer, a connection or a peer's datagram.
+    /// Returns true if it could not be reached before.
+    pub fn hear_centre(&mut self, now: Duration, centre: &DataCentreName) -> bool {
+        let state = self.centres.entry(centre.clone()).or_default();
+        state.heard_at = now;
+        std::mem::replace(&mut state.unreachable, false)
+    }
+
+    /// Records that a data centre did not answer when it was asked for a sign of life. Returns
+    /// true if it could be reached before.
+    pub fn lose_centre(&mut self, centre: &DataCentreName) -> bool {
+        let state = self.centres.entry(centre.clone()).or_default();
+        !std::mem::replace(&mut state.unreachable, true)
+    }
+
+    /// True if a data centre cannot be reached.
+    pub fn is_cut_off(&self, centre: &DataCentreName) -> bool {
+        self.centres
+            .get(centre)
+            .is_some_and(|state| state.unreachable)
+    }
+
+    /// Data centres to ask for a sign of life, each with the addresses of up to two servers;
+    /// `round` makes them vary.
+    pub fn silent_centres(
+        &self,
+        now: Duration,
+        round: usize,
+    ) -> Vec<(DataCentreName, SmallVec<[SocketAddr; 2]>)> {
+        let mut by_centre: BTreeMap<&DataCentreName, Vec<SocketAddr>> = BTreeMap::new();
+        for server in self.servers.values() {
+            let centre = &server.record.data_centre;
+            let heard_at = self.centres.get(centre).map(|state| state.heard_at);
+            if heard_at.is_some_and(|at| now.saturating_sub(at) < CENTRE_SILENCE) {
+                continue;
+            }
+            by_centre
+                .entry(centre)
+                .or_default()
+                .push(server.record.address);
+        }
+        let mut silent = Vec::new();
+        for (centre, addresses) in by_centre {
+            let count = addresses.len();
+            let first = addresses[round % count];
+            let second = addresses[(round + count / 2) % count];
+            silent.push((centre.clone(), SmallVec::from_slice(&[first, second])));
+        }
+        silent
+    }
+
     /// Servers of a service that may be sent new work.
     pub fn ready_count(&self, service: &ServiceName) -> usize {
         self.servers
@@ -309,10 +386,15 @@
     /// Chooses a server for an attempt and counts the attempt there.
     pub fn place(&mut self, now: Duration, ask: PlaceAsk<'_>) -> Result<Placed> {
         let prefixes = ask.prompt.map(Prompt::prefixes).unwrap_or_default();
-        let home = self.home(now, &ask, &prefixes);
+        // If no server is believed to be well, one that may be is better than none.
+        let strict = self
+            .servers
+            .values()
+            .any(|server| self.is_candidate(server, now, &ask, true));
+        let home = self.home(now, &ask, &prefixes, strict);
         let mut best: Option<(f64, ServerName)> = None;
         for server in self.servers.values() {
-            if !is_candidate(server, now, &ask) {
+            if !self.is_candidate(server, now, &ask, strict) {
                 continue;
             }
             let at_home = home.as_ref() == Some(&server.record.id);
@@ -338,15 +420,28 @@
             server.suspects_here = server.suspects_here.saturating_sub(1);
         }
         match end {
-            AttemptEnd::Broken | AttemptEnd::Unreachable => {
+            AttemptEnd::Broken => {
+                server.failures_in_a_row += 1;
+                if server.failures_in_a_row >= BROKEN_IN_A_ROW_MAX {
+                    server.leave_out(now, server.failures_in_a_row - BROKEN_IN_A_ROW_MAX);
+                }
+            }
+            AttemptEnd::Unreachable => {
                 server.failures_in_a_row += 1;
-                let doublings = (server.failures_in_a_row - 1).min(4);
-                let pause = (DOWN_FIRST * (1 << doublings)).min(DOWN_MAX);
-                server.down_until = now + pause;
+                server.leave_out(now, server.failures_in_a_row - 1);
             }
             AttemptEnd::WrongServer => server.down_until = now + DOWN_MAX,
             AttemptEnd::GivenUp | AttemptEnd::Refused => {}
-            AttemptEnd::Whole => server.failures_in_a_row = 0,
+            AttemptEnd::Whole => {
+                server.failures_in_a_row = 0;
+                let centre = &server.record.data_centre;
+                // Whether the way is open again is for whoever asks to find out and to tell.
+                if let Some(state) = self.centres.get_mut(centre)
+                    && !state.unreachable
+                {
+                    state.heard_at = now;
+                }
+            }
         }
     }
 
@@ -379,6 +474,7 @@
         Placed {
             address: server.record.address,
             cached_tokens,
+            data_centre: server.record.data_centre.clone(),
             server: id.clone(),
             wait: Duration::from_secs_f64(cost_ms / 1_000.0),
         }
@@ -391,12 +487,13 @@
         now: Duration,
         ask: &PlaceAsk<'_>,
         prefixes: &PrefixHashes,
+        strict: bool,
     ) -> Option<ServerName> {
         let prompt = ask.prompt?;
         let shared = prefixes.get(prompt.shared_count().checked_sub(1)?)?;
         let mut best: Option<(u64, &ServerName)> = None;
         for server in self.servers.values() {
-            if !is_candidate(server, now, ask) {
+            if !self.is_candidate(server, now, ask, strict) {
                 continue;
             }
             let score = xxh3_64_with_seed(server.record.id.as_bytes(), *shared);
@@ -415,7 +512,7 @@
         prefixes: &PrefixHashes,
         at_home: bool,
     ) -> f64 {
-        let mut cost = 0.0;
+        let mut cost = f64::from(server.failures_in_a_row) * BROKEN_COST_MS;
         if server.record.data_centre != self.data_centre {
             cost += OTHER_CENTRE_COST_MS;
         }
@@ -441,14 +538,21 @@
             retry_after_ms: NO_SERVER_RETRY.as_millis() as u64,
         }
     }
-}
 
-/// True if a server may be sent the call.
-fn is_candidate(server: &FleetServer, now: Duration, ask: &PlaceAsk<'_>) -> bool {
-    let stays = !server.record.leaving || is_off(Safeguard::Leaving);
-    server.record.service == *ask.service
-        && stays
-        && now >= server.down_until
-        && !ask.tried.contains(&server.record.id)
-        && !(ask.suspect && server.suspects_here > 0)
+    /// True if a server may be sent the call; with `strict`, also if it is believed to be well.
+    fn is_candidate(
+        &self,
+        server: &FleetServer,
+        now: Duration,
+        ask: &PlaceAsk<'_>,
+        strict: bool,
+    ) -> bool {
+        let stays = !server.record.leaving || is_off(Safeguard::Leaving);
+        let well = now >= server.down_until && !self.is_cut_off(&server.record.data_centre);
+        server.record.service == *ask.service
+            && stays
+            && (well || !strict)
+            && !ask.tried.contains(&server.record.id)
+            && !(ask.suspect && server.suspects_here > 0)
+    }
 }
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -40,8 +40,14 @@
     pub async fn run(self, mut tell: impl FnMut(Followed), shutdown: CancellationToken) {
         let mut view = KeyedView::default();
         let mut reachable = true;
+        // Start of the first of the pages being read: whatever was accepted before it is in them.
+        let mut pages_began_at = None;
         loop {
-            let began_at = boot_time();
+            let mut began_at = boot_time();
+            match view.need() {
+                KeyedNeed::Page { .. } => began_at = *pages_began_at.get_or_insert(began_at),
+                KeyedNeed::Records { .. } => pages_began_at = None,
+            }
             let read = tokio::select! {
                 () = shutdown.cancelled() => return,
                 read = self.read(&mut view, began_at, &mut tell) => read,
@@ -70,12 +76,14 @@
         match view.need() {
             KeyedNeed::Page { after } => {
                 let page = self.log.newest(self.topic, after).await?;
-                let end = page.end;
-                for change in view.take_page(page.items, page.has_more, end) {
+                let has_more = page.has_more;
+                for change in view.take_page(page.items, has_more, page.end) {
                     tell(Followed::Change(change));
                 }
-                // A proof needs the records that came while pages were read: the next read
-                // gives it.
+                if let (false, KeyedNeed::Records { from }) = (has_more, view.need()) {
+                    let read_to = from;
+                    tell(Followed::Proof { began_at, read_to });
+                }
                 Ok(())
             }
             KeyedNeed::Records { from } => {
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -166,6 +166,12 @@
     let mut wall_clock = serving.wall_clock.borrow_mut();
     wall_clock.take_peer(now, peer, digest.unix_ms);
     let mut fleet = serving.fleet.borrow_mut();
+    if fleet.hear_centre(now, &digest.data_centre) {
+        info!(
+            "dependency name=data-centre id={} regained by={peer}",
+            digest.data_centre
+        );
+    }
     fleet.take_peer_loads(now, peer, &digest.loads);
     fleet.take_peer_rates(now, peer, digest.prefill_rates);
     let mut limits = serving.limits.borrow_mut();
@@ -212,6 +218,7 @@
         }
     }
     PeerNews {
+        data_centre: serving.settings.data_centre.clone(),
         demands: serving.limits.borrow_mut().demand(now),
         echoed: None,
         instance: serving.settings.instance.clone(),
--- a/src/peer_news.rs
+++ b/src/peer_news.rs
@@ -7,6 +7,8 @@
 /// What an instance tells a peer.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct PeerNews {
+    /// Data centre of the sender.
+    pub data_centre: DataCentreName,
     /// What was admitted and asked for, by account.
     pub demands: HashMap<AccountName, AccountDemand>,
     /// The receiver's time of sending that the sender heard last.
@@ -76,6 +78,7 @@
                 service: service.to_string(),
             });
         Self {
+            data_centre: digest.data_centre.to_string(),
             demands: demands.collect(),
             echoed_ms: digest.echoed.map_or(0, |echoed| echoed.as_millis() as u64),
             instance: digest.instance.to_string(),
@@ -104,6 +107,7 @@
         let demands = wire.demands.into_iter();
         let work = wire.work.into_iter();
         Self {
+            data_centre: wire.data_centre.into(),
             demands: demands
                 .map(|wire| {
                     let demand = AccountDemand {
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -9,6 +9,8 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use tokio::sync::watch;
+
 /// What is set for one instance.
 #[derive(Debug, Clone, bon::Builder)]
 pub struct ServingSettings {
@@ -32,6 +34,8 @@
     pub book: RefCell<PolicyBook>,
     /// Retry budget.
     pub budget: RefCell<RetryBudget>,
+    /// Number of times that a data centre was cut off or heard again; wakes those who wait there.
+    pub cuts: watch::Sender<u64>,
     /// Reads and writes HTTP heads.
     pub dialect: Box<dyn Dialect>,
     /// True once the instance is stopping.
@@ -78,6 +82,7 @@
         Self {
             book: RefCell::default(),
             budget: RefCell::default(),
+            cuts: watch::Sender::new(0),
             dialect,
             draining: Cell::new(false),
             fleet: RefCell::new(Fleet::new(settings.data_centre.clone())),
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -85,6 +85,7 @@
         let duties = Duties::new(serving.clone(), parts.log.clone(), cloud);
         actix_rt::spawn(duties.run(shutdown.clone()));
     }
+    actix_rt::spawn(watch_centres(serving.clone(), shutdown.clone()));
     actix_rt::spawn(keep_house(serving.clone(), shutdown.clone()));
     loop {
         tokio::select! {
--- a/src/use_limits.rs
+++ b/src/use_limits.rs
@@ -22,7 +22,7 @@
 
 /// Part of its share of a burst that a restarted instance may admit at once: what it admitted
 /// before is not known.
-const UNKNOWN_BURST_PART: f64 = 0.3;
+const UNKNOWN_BURST_PART: f64 = 0.5;
 
 /// Slots that a window is divided into.
 const WINDOW_SLOTS: u64 = 16;
@@ -123,16 +123,22 @@
         let capacity = (limit.burst * share).max(units);
         account_use.bucket.refill(now, rate_per_s, capacity);
         let is_free = knows_window && used < allowance * FREE_PART;
-        let fits = used < allowance && account_use.bucket.level >= units;
+        let fits = used < allowance && account_use.bucket.level > 0.0;
         if !is_free && !fits && !is_off(Safeguard::AccountLimit) {
-            let wait = account_use.bucket.wait(units, rate_per_s).max(WINDOW_RETRY);
+            let wait = account_use.bucket.wait(0.0, rate_per_s).max(WINDOW_RETRY);
             return Err(Error::AccountLimit {
                 account: account.name.clone(),
                 limit: "units a second",
                 retry_after_ms: wait.as_millis() as u64,
             });
         }
-        account_use.bucket.level = (account_use.bucket.level - units).max(0.0);
+        // What is admitted freely leaves no debt; otherwise large calls borrow from later ones, so
+        // that they are refused no more often than small ones.
+        let floor = match is_free {
+            true => 0.0,
+            false => f64::NEG_INFINITY,
+        };
+        account_use.bucket.level = (account_use.bucket.level - units).max(floor);
         account_use.admitted.add(slot, units);
         Ok(())
     }
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -557,6 +557,8 @@
     pub work: ::prost::alloc::vec::Vec<ServiceWork>,
     #[prost(bool, tag = "12")]
     pub leaving: bool,
+    #[prost(string, tag = "13")]
+    pub data_centre: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServerUse {
