--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -9,7 +9,7 @@
 
 /// Part of the time for which an engine may be busy reading prompts at the demand of now: bursts
 /// come faster than a server starts, and first tokens wait behind the prompts of others.
-const PREFILL_USE_TARGET: f64 = 0.35;
+const PREFILL_USE_TARGET: f64 = 0.4;
 
 /// Part of its slots that an engine may have in use at the demand of now.
 const SLOT_USE_TARGET: f64 = 0.4;
@@ -86,6 +86,8 @@
     kinds: BTreeMap<(DataCentreName, bool), KindState>,
     /// Needs of the last while, oldest first.
     needs: VecDeque<(Duration, u32)>,
+    /// True once any server was known.
+    seen: bool,
 }
 
 impl Capacity {
@@ -98,10 +100,12 @@
         view: &CapacityView,
     ) -> SmallVec<[CapacityOrder; 4]> {
         let mut targets = BTreeMap::new();
-        if view.counts.is_empty() {
+        // Until the first servers are known, nothing says that none stand.
+        self.seen |= !view.counts.is_empty();
+        if !self.seen {
             return SmallVec::new();
         }
-        let need = self.steady_need(now, view);
+        let need = self.steady_need(now, policy, view);
         self.add_spot_targets(now, policy, view, need, &mut targets);
         add_other_targets(policy, view, need, &mut targets);
         let mut orders = SmallVec::new();
@@ -136,9 +140,9 @@
 
     /// Most servers that the demand needed over the last while. Until there is demand, what
     /// stood at first is taken for what is needed and its spare.
-    fn steady_need(&mut self, now: Duration, view: &CapacityView) -> u32 {
+    fn steady_need(&mut self, now: Duration, policy: &CapacityPolicy, view: &CapacityView) -> u32 {
         let standing = ready_sum(view, false);
-        let centres = centre_count(view);
+        let centres = (policy.zone_prices.len() as u32).max(1);
         let need = match view.prefill_tokens_per_s > 0.0 {
             true => need_of(view),
             false => (standing * (centres - 1).max(1)).div_ceil(centres),
@@ -221,16 +225,6 @@
     of_kind.map(|(_, count)| count.ready).sum()
 }
 
-fn centre_count(view: &CapacityView) -> u32 {
-    let mut centres: SmallVec<[&DataCentreName; 8]> = SmallVec::new();
-    for (centre, _) in view.counts.keys() {
-        if !centres.contains(&centre) {
-            centres.push(centre);
-        }
-    }
-    centres.len() as u32
-}
-
 fn need_of(view: &CapacityView) -> u32 {
     let by_prefill =
         view.prefill_tokens_per_s / (view.prefill_rate_per_s.max(1.0) * PREFILL_USE_TARGET);
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -14,3 +14,9 @@
         time.tv_nsec.unsigned_abs() as u32,
     )
 }
+
+/// Time of day as the machine has it, in milliseconds since 1970; 0 on a clock before that.
+pub fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/src/duties.rs
+++ b/src/duties.rs
@@ -22,6 +22,10 @@
 /// Pause between looks at what is due.
 const DUTY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Pause of instances without the lease after a read of the duty topic: each renewal would wake
+/// them all.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Pause after a call to the log that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -82,6 +86,9 @@
                 LeaseStep::Newest => self.read_newest().await,
                 LeaseStep::Read { from, wait } => self.read_records(from, wait).await,
             };
+            if held.is_none() && matches!(step, LeaseStep::Read { .. }) {
+                tokio::time::sleep(FOLLOWER_PAUSE).await;
+            }
             if let Err(error) = done {
                 debug!("duty lease step={step:?} failed reason=\"{error}\"");
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -138,10 +145,7 @@
                 continue;
             };
             match record.entry {
-                Some(wire::duty_record::Entry::Lease(_)) if self.is_own(&record) => {
-                    holder = LeaseHolder::Own;
-                }
-                Some(wire::duty_record::Entry::Lease(_)) => holder = LeaseHolder::Other,
+                Some(wire::duty_record::Entry::Lease(_)) => holder = self.holder_of(&record),
                 Some(wire::duty_record::Entry::Usage(usage)) => self.take_usage(usage),
                 None => {}
             }
@@ -178,6 +182,15 @@
         Ok(())
     }
 
+    /// Whose a lease record is. An earlier life of this instance has ended: nobody acts for it.
+    fn holder_of(&self, record: &wire::DutyRecord) -> LeaseHolder {
+        match record.holder == self.serving.settings.instance.as_str() {
+            true if record.life == self.serving.life => LeaseHolder::Own,
+            true => LeaseHolder::Nobody,
+            false => LeaseHolder::Other,
+        }
+    }
+
     fn is_own(&self, record: &wire::DutyRecord) -> bool {
         record.holder == self.serving.settings.instance.as_str() && record.life == self.serving.life
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -27,7 +27,7 @@
 
 /// Runs an entry instance until it is told to stop (SIGTERM or SIGINT).
 pub fn run_entry(settings: Settings) -> Result {
-    start_logging(settings.log_level);
+    start_daemon_logging(settings.log_level);
     actix_rt::System::new().block_on(async move {
         let instance = Instance::launch(settings).await?;
         tokio::select! {
@@ -318,6 +318,7 @@
     let own = Member {
         data_centre: settings.data_centre.clone(),
         dead: false,
+        // Only compared with earlier lives, and raised if one of them had a higher one.
         epoch: unix_ms(),
         instance: settings.instance.clone(),
         leaving: false,
@@ -328,13 +329,6 @@
     PeerActor::new(members, links, router.clone(), claims.clone()).start()
 }
 
-/// First epoch of a life. It is only compared with earlier lives of the same instance, and raised
-/// if one of them had a higher one.
-fn unix_ms() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 fn into_tokio(listener: TcpListener) -> Result<tokio::net::TcpListener> {
     let converted = listener
         .set_nonblocking(true)
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -39,6 +39,9 @@
 /// Retry time told when the servers refused a call.
 const REFUSED_RETRY: Duration = Duration::from_millis(300);
 
+/// Time for events at hand to be written before a broken stream's connection is closed.
+const FLUSH_TIME: Duration = Duration::from_millis(5);
+
 /// Time that a caller waits if it does not say.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
 
@@ -604,30 +607,30 @@
                 () = wait_for_cut(&self.exchange.serving, &self.centre), if can_move => {
                     match self.go_on("data centre was cut off".to_owned()).await {
                         Ok(()) => continue,
-                        Err(error) => return Some(self.end_broken(error)),
+                        Err(error) => return Some(self.end_broken(error).await),
                     }
                 }
             };
             let chunk = match read {
                 Ok(Some(Ok(chunk))) => chunk,
-                Ok(None) => return self.end_whole(),
+                Ok(None) => return self.end_whole().await,
                 Ok(Some(Err(error))) => match self.go_on(error.reason).await {
                     Ok(()) => continue,
-                    Err(error) => return Some(self.end_broken(error)),
+                    Err(error) => return Some(self.end_broken(error).await),
                 },
                 Err(_) if ends_at < self.exchange.ends_at => {
                     match self.go_on("stream fell silent".to_owned()).await {
                         Ok(()) => continue,
-                        Err(error) => return Some(self.end_broken(error)),
+                        Err(error) => return Some(self.end_broken(error).await),
                     }
                 }
                 Err(_) => {
                     let error = self.exchange.timed_out();
-                    return Some(self.end_broken(error));
+                    return Some(self.end_broken(error).await);
                 }
             };
             if let Err(error) = self.events.push(&chunk) {
-                return Some(self.end_broken(error));
+                return Some(self.end_broken(error).await);
             }
         }
     }
@@ -690,12 +693,12 @@
         }
     }
 
-    fn end_whole(mut self) -> Option<(Result<Bytes>, Self)> {
+    async fn end_whole(mut self) -> Option<(Result<Bytes>, Self)> {
         if self.events.has_partial() {
             let error = self
                 .exchange
                 .lost("stream ended inside an event".to_owned());
-            return Some(self.end_broken(error));
+            return Some(self.end_broken(error).await);
         }
         let attempt = self.attempt.as_mut()?;
         attempt.end = AttemptEnd::Whole;
@@ -705,7 +708,9 @@
     }
 
     /// Ends the caller's connection, so that the answer cannot be taken for a whole one.
-    fn end_broken(mut self, error: Error) -> (Result<Bytes>, Self) {
+    async fn end_broken(mut self, error: Error) -> (Result<Bytes>, Self) {
+        // The connection is closed as soon as the error is seen; the events before it go first.
+        tokio::time::sleep(FLUSH_TIME).await;
         warn!(
             "finish request={} outcome=broken-stream ms={} reason=\"{error}\"",
             self.exchange.call.request_id,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -404,6 +404,7 @@
             }
         }
         let Some((cost_ms, id)) = best else {
+            self.count_unplaced(now, &ask);
             return Err(self.none_ready(&ask));
         };
         let at_home = home.as_ref() == Some(&id);
@@ -445,6 +446,16 @@
         }
     }
 
+    /// Counts the demand of a call that no server could take, so that servers are ordered for it.
+    fn count_unplaced(&mut self, now: Duration, ask: &PlaceAsk<'_>) {
+        let Some(prompt) = ask.prompt else {
+            return;
+        };
+        let own = prompt.tokens - prompt.tokens_in(prompt.shared_count()).min(prompt.tokens);
+        let rate = self.prefill_rates.entry(ask.service.clone()).or_default();
+        rate.add(now, f64::from(own));
+    }
+
     fn commit(
         &mut self,
         now: Duration,
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -13,6 +13,10 @@
 /// Pause between digests.
 const DIGEST_PAUSE: Duration = Duration::from_millis(300);
 
+/// Peers told in one round: a few data centres' worth of small deployments at once; larger ones
+/// are told in turn, so that traffic grows with the instances and not with their square.
+const ROUND_PEERS_MAX: usize = 10;
+
 /// Peers that are silent for longer get a digest only every [`SILENT_ROUNDS`] rounds.
 const SILENT_AFTER: Duration = Duration::from_secs(10);
 
@@ -204,9 +208,15 @@
         }
         targets.push((peer.address, peer.heard.map(|(_, sent)| sent)));
     }
+    if targets.len() > ROUND_PEERS_MAX {
+        let first = (round as usize).wrapping_mul(ROUND_PEERS_MAX) % targets.len();
+        targets.rotate_left(first);
+        targets.truncate(ROUND_PEERS_MAX);
+    }
     targets
 }
 
+/// What this instance has to tell now; whom it was heard from is added for each peer.
 fn own_digest(serving: &Serving, now: Duration) -> PeerNews {
     let book = serving.book.borrow();
     let mut fleet = serving.fleet.borrow_mut();
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,16 +1,42 @@
-//! Sets the log up: one line per event on standard error.
+//! Sets the log up: one line per event.
 
-/// Starts logging at a level. Does nothing if logging was started before.
-pub fn start_logging(level: log::LevelFilter) {
+use super::*;
+
+use log::LevelFilter;
+use log::Record;
+
+/// Starts logging to standard error at a level, for commands and tests. Does nothing if logging
+/// was started before.
+pub fn start_logging(level: LevelFilter) {
     let dispatch = fern::Dispatch::new()
         .format(|out, message, record| {
-            let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-            let now_ms = since.map_or(0, |since| since.as_millis());
-            out.finish(format_args!("{now_ms} {} {message}", record.level()));
+            out.finish(format_args!("{} {} {message}", unix_ms(), record.level()));
         })
-        .level(log::LevelFilter::Warn)
+        .level(LevelFilter::Warn)
         .level_for("ebonyspread", level)
         .chain(std::io::stderr());
     // A second start, as in tests, keeps the first.
     let _ = dispatch.apply();
 }
+
+/// Starts logging to standard output at a level, for daemons: bounded, and never waiting for
+/// whoever reads it.
+pub fn start_daemon_logging(level: LevelFilter) {
+    let queue = LogQueue::start(std::io::stdout());
+    let output = fern::Output::call(move |record: &Record<'_>| {
+        queue.push(format!(
+            "{} {} {}",
+            unix_ms(),
+            record.level(),
+            record.args()
+        ));
+    });
+    let dispatch = fern::Dispatch::new()
+        .level(LevelFilter::Warn)
+        // Broken streams are told by our own lines, with the request's id.
+        .level_for("actix_http", LevelFilter::Off)
+        .level_for("ebonyspread", level)
+        .chain(output);
+    // A second start, as in tests, keeps the first.
+    let _ = dispatch.apply();
+}
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -72,9 +72,8 @@
     /// Creates the state of an instance that has no policy and knows no server.
     pub fn new(settings: ServingSettings, dialect: Box<dyn Dialect>, metrics: Metrics) -> Self {
         let seed = xxh3_64(settings.instance.as_bytes());
-        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        // A clock before 1970 is corrected by the peers' like any other wrong one.
-        let unix = since.unwrap_or_default();
+        // A clock that is wrong at the start is corrected by those of the peers.
+        let unix = Duration::from_millis(unix_ms());
         let unknown_until = match settings.first_start {
             true => Duration::ZERO,
             false => boot_time() + settings.limit_window,
