Give nothing up before a new holder has watched the demand; learn engines' speed; set urgency

Since a restarted holder takes its lease again at once, it planned before any demand was told and ordered one server a data centre.

Besides, not yet measured: engines' prefill rate is learned from the time to the first event instead of a constant that fits these sites; model calls carry their priority as urgency.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -83,6 +83,8 @@
 /// Orders for one service.
 #[derive(Debug, Default)]
 pub struct Capacity {
+    /// When the first plan was made.
+    began_at: Option<Duration>,
     kinds: BTreeMap<(DataCentreName, bool), KindState>,
     /// Needs of the last while, oldest first.
     needs: VecDeque<(Duration, u32)>,
@@ -138,14 +140,14 @@
         }
     }
 
-    /// Most servers that the demand needed over the last while. Until there is demand, what
-    /// stood at first is taken for what is needed and its spare.
+    /// Most servers that the demand needed over the last while. Until this holder has watched the
+    /// demand for as long, what stands is taken for what is needed and its spare.
     fn steady_need(&mut self, now: Duration, policy: &CapacityPolicy, view: &CapacityView) -> u32 {
-        let standing = ready_sum(view, false);
-        let centres = (policy.zone_prices.len() as u32).max(1);
-        let need = match view.prefill_tokens_per_s > 0.0 {
+        let began_at = *self.began_at.get_or_insert(now);
+        let has_watched = now.saturating_sub(began_at) > SHRINK_AFTER;
+        let need = match has_watched && view.prefill_tokens_per_s > 0.0 {
             true => need_of(view),
-            false => (standing * (centres - 1).max(1)).div_ceil(centres),
+            false => need_of(view).max(standing_need(policy, view)),
         };
         self.needs.push_back((now, need));
         while let Some((at, _)) = self.needs.front()
@@ -225,6 +227,15 @@
     of_kind.map(|(_, count)| count.ready).sum()
 }
 
+/// What a fleet that stands was meant for: all of it but the spare for one data centre.
+fn standing_need(policy: &CapacityPolicy, view: &CapacityView) -> u32 {
+    let centres = (policy.zone_prices.len() as u32).max(1);
+    let others = (ready_sum(view, false) * (centres - 1).max(1)).div_ceil(centres);
+    let spot = view.counts.iter().filter(|((_, kind), _)| *kind);
+    let spot_most = spot.map(|(_, count)| count.ready).max().unwrap_or(0);
+    others.max(ready_sum(view, true) - spot_most)
+}
+
 fn need_of(view: &CapacityView) -> u32 {
     let by_prefill =
         view.prefill_tokens_per_s / (view.prefill_rate_per_s.max(1.0) * PREFILL_USE_TARGET);
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -37,6 +37,8 @@
     pub account: Option<&'a AccountName>,
     /// Last event that the caller has, if the attempt goes on after it.
     pub last_event_id: Option<&'a str>,
+    /// Rank among the calls that wait at the server; 0 is the most urgent.
+    pub priority: u8,
     /// Server that is to run the call.
     pub server: &'a ServerName,
     /// Time after which the answer is of no use.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -94,6 +94,8 @@
     ends_at: TokioInstant,
     /// True once an attempt may have run.
     may_have_run: bool,
+    /// Rank of the call; 0 is the most urgent.
+    priority: u8,
     received_at: TokioInstant,
     route: Arc<PolicyRoute>,
     sends: u32,
@@ -168,6 +170,9 @@
         };
         serving.limits.borrow_mut().admit(now, account, units)?;
     }
+    let priority = account
+        .and_then(|account| account.priority)
+        .unwrap_or(route.priority);
     let account = account.map(|account| account.name.clone());
     let service = pick_service(serving, &route, account.as_ref(), &call)?;
     Ok(Exchange {
@@ -177,6 +182,7 @@
         connect_failures: 0,
         ends_at: received_at + time_left,
         may_have_run: false,
+        priority,
         received_at,
         route,
         sends: 0,
@@ -342,6 +348,7 @@
             AttemptHead {
                 account: self.account.as_ref(),
                 last_event_id,
+                priority: self.priority,
                 server: &attempt.placed.server,
                 time_left: time_left.saturating_sub(WAY_BACK),
             },
@@ -357,6 +364,7 @@
                 server: attempt.placed.server.clone(),
             },
         });
+        let sent_at = TokioInstant::now();
         let patience = self.patience();
         let can_move = patience < self.ends_at;
         let centre = attempt.placed.data_centre.clone();
@@ -384,9 +392,20 @@
             }
         };
         self.sends += 1;
+        self.observe(&attempt, sent_at.elapsed());
         self.take_answer(attempt, answer).await
     }
 
+    /// Lets the fleet learn from the time to the head of a model call's answer.
+    fn observe(&self, attempt: &Attempt, elapsed: Duration) {
+        let Some(prompt) = &self.call.prompt else {
+            return;
+        };
+        let uncached = prompt.tokens.saturating_sub(attempt.placed.cached_tokens);
+        let mut fleet = self.serving.fleet.borrow_mut();
+        fleet.observe_first_event(&self.service, uncached, elapsed);
+    }
+
     fn place(&mut self) -> Result<Placed> {
         let now = boot_time();
         let ask = PlaceAsk {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -25,10 +25,6 @@
 /// Prompt parts remembered for each server's cache.
 const CACHED_PARTS_MAX: usize = 4_096;
 
-/// Prompt tokens that an engine reads in a millisecond until its answers have shown its rate;
-/// the order of magnitude of current accelerators.
-pub const PREFILL_TOKENS_PER_MS: f64 = 30.0;
-
 /// Time that a call to another data centre costs more, for its round trip and its bytes.
 const OTHER_CENTRE_COST_MS: f64 = 4.0;
 
@@ -209,6 +205,8 @@
     data_centre: DataCentreName,
     /// Prompt tokens a second that peers send to each service.
     peer_rates: HashMap<InstanceName, (Duration, HashMap<ServiceName, f64>)>,
+    /// Speed of each service's engines.
+    prefill: HashMap<ServiceName, PrefillRate>,
     /// Prompt tokens a second sent to each service.
     prefill_rates: HashMap<ServiceName, DecayingRate>,
     servers: BTreeMap<ServerName, FleetServer>,
@@ -221,6 +219,7 @@
             centres: BTreeMap::new(),
             data_centre,
             peer_rates: HashMap::new(),
+            prefill: HashMap::new(),
             prefill_rates: HashMap::new(),
             servers: BTreeMap::new(),
         }
@@ -343,6 +342,25 @@
         rates
     }
 
+    /// Takes the time to the first event of a call with so many prompt tokens not cached.
+    pub fn observe_first_event(
+        &mut self,
+        service: &ServiceName,
+        uncached_tokens: u32,
+        elapsed: Duration,
+    ) {
+        let rate = self.prefill.entry(service.clone()).or_default();
+        rate.observe(uncached_tokens, elapsed);
+    }
+
+    /// Prompt tokens that an engine of a service reads in a millisecond.
+    fn tokens_per_ms(&self, service: &ServiceName) -> f64 {
+        match self.prefill.get(service) {
+            Some(rate) => rate.tokens_per_ms(),
+            None => PrefillRate::default().tokens_per_ms(),
+        }
+    }
+
     /// Takes the prompt tokens a second that a peer sends to each service.
     pub fn take_peer_rates(
         &mut self,
@@ -358,7 +376,7 @@
     /// What a plan for a service's capacity is made from.
     pub fn capacity_view(&self, now: Duration, service: &ServicePolicy) -> CapacityView {
         let mut view = CapacityView {
-            prefill_rate_per_s: PREFILL_TOKENS_PER_MS * 1_000.0,
+            prefill_rate_per_s: self.tokens_per_ms(&service.name) * 1_000.0,
             slots: service.engine.map_or(0, |engine| engine.slots),
             ..CapacityView::default()
         };
@@ -465,6 +483,7 @@
         at_home: bool,
         cost_ms: f64,
     ) -> Placed {
+        let tokens_per_ms = self.tokens_per_ms(ask.service);
         let server = self.servers.get_mut(id).expect("chosen among the servers");
         server.running_here += 1;
         if ask.suspect {
@@ -475,7 +494,7 @@
             let cached_parts = server.cached_parts(prompt, prefixes, at_home);
             cached_tokens = prompt.tokens_in(cached_parts);
             let uncached = f64::from(prompt.tokens - cached_tokens.min(prompt.tokens));
-            let work_ms = uncached / PREFILL_TOKENS_PER_MS;
+            let work_ms = uncached / tokens_per_ms;
             let rate = self.prefill_rates.entry(ask.service.clone()).or_default();
             rate.add(now, uncached);
             server.prefill_until =
@@ -534,7 +553,7 @@
         let cached_parts = server.cached_parts(prompt, prefixes, at_home);
         let uncached = prompt.tokens - prompt.tokens_in(cached_parts).min(prompt.tokens);
         let backlog = server.backlog(now);
-        cost += f64::from(uncached) / PREFILL_TOKENS_PER_MS;
+        cost += f64::from(uncached) / self.tokens_per_ms(ask.service);
         cost += backlog.as_secs_f64() * 1_000.0;
         cost += f64::from(server.running()) * RUNNING_COST_MS;
         if server.running() >= server.record.slots {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -12,6 +12,8 @@
 mod lease;
 #[path = "decisions/policy_book.rs"]
 mod policy_book;
+#[path = "decisions/prefill_rate.rs"]
+mod prefill_rate;
 #[path = "decisions/use_limits.rs"]
 mod use_limits;
 #[path = "decisions/wall_clock.rs"]
--- a/tests/decisions/capacity.rs
+++ b/tests/decisions/capacity.rs
@@ -204,3 +204,16 @@
     let ready: u32 = world.ready.values().sum();
     assert!(f64::from(ready) * RATE_PER_S * 0.7 > 100_000.0, "{ready}");
 }
+
+#[test]
+fn holder_that_restarted_gives_nothing_up_before_it_has_watched_the_demand() {
+    let mut world = World::new(6);
+    world.run(Duration::from_secs(30), 100_000.0);
+    let before: u32 = world.ready.values().sum();
+    world.capacity = Capacity::default();
+    for part in 0..8 {
+        // What instances tell of the demand builds up over seconds after a restart.
+        let fewest = world.run(Duration::from_secs(1), 100_000.0 * f64::from(part) / 8.0);
+        assert!(fewest >= before, "{fewest} of {before} after {part} s");
+    }
+}
