Bridge half of the largest data centre's reclaimable servers; prefill target 0.5

While none are to be had, other servers at full price stood in for all that one more reclaim could take. Ruled out: a target of 0.6: with the loss of a data centre it leaves engines busier than half. Change: half is bridged; the notice of a reclaim is most of a server's start. To be measured next.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -9,11 +9,15 @@
 
 /// Part of the time for which an engine may be busy reading prompts at the demand of now: bursts
 /// come faster than a server starts, and first tokens wait behind the prompts of others.
-const PREFILL_USE_TARGET: f64 = 0.4;
+const PREFILL_USE_TARGET: f64 = 0.5;
 
 /// Part of its slots that an engine may have in use at the demand of now.
 const SLOT_USE_TARGET: f64 = 0.4;
 
+/// Part of the largest data centre's reclaimable servers that others stand ready to replace: their
+/// notice is most of a server's start, and others cost several times as much.
+const BRIDGED_PART: f64 = 0.5;
+
 /// Servers are given up only after the demand has allowed it for this long.
 const SHRINK_AFTER: Duration = Duration::from_secs(12);
 
@@ -243,8 +247,8 @@
     (by_prefill.max(by_slots).ceil() as u32).max(1)
 }
 
-/// Servers that are not reclaimable: what is missing until the need is met even without the
-/// largest data centre's reclaimable ones. What stands is kept before anything new is started,
+/// Servers that are not reclaimable: what is missing until the need is met even without a part of
+/// the largest data centre's reclaimable ones. What stands is kept before anything new is started,
 /// in the cheapest data centres first.
 fn add_other_targets(
     policy: &CapacityPolicy,
@@ -260,7 +264,8 @@
     };
     let spot_sum: u32 = centres.iter().map(|(centre, _)| ready(centre, true)).sum();
     let spot_most = centres.iter().map(|(centre, _)| ready(centre, true)).max();
-    let mut missing = need.saturating_sub(spot_sum - spot_most.unwrap_or(0));
+    let at_risk = f64::from(spot_most.unwrap_or(0)) * BRIDGED_PART;
+    let mut missing = need.saturating_sub(spot_sum - at_risk.ceil() as u32);
     for (centre, _) in &centres {
         let kept = ready(centre, false).min(missing);
         missing -= kept;
