Split the exchange by job; measure whole calls and retries

Change: relay.rs passes streams on, reply.rs answers; call_ms and retries are counted. No decision changed.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -33,15 +33,9 @@
 /// Least patience; shorter would take a busy server for a silent one.
 const HEAD_PATIENCE_MIN: Duration = Duration::from_millis(400);
 
-/// Pause in a resumable stream, in longest on-time pauses, after which it goes on elsewhere.
-const GAP_PATIENCE_TARGETS: f64 = 3.0;
-
 /// Retry time told when the servers refused a call.
 const REFUSED_RETRY: Duration = Duration::from_millis(300);
 
-/// Time for events at hand to be written before a broken stream's connection is closed.
-const FLUSH_TIME: Duration = Duration::from_millis(5);
-
 /// Time that a caller waits if it does not say.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
 
@@ -64,12 +58,12 @@
 }
 
 /// Counts a call in progress, so that a stop can wait for it.
-struct InFlight {
+pub(crate) struct InFlight {
     serving: Rc<Serving>,
 }
 
 impl InFlight {
-    fn new(serving: &Rc<Serving>) -> Self {
+    pub(crate) fn new(serving: &Rc<Serving>) -> Self {
         serving.in_flight.set(serving.in_flight.get() + 1);
         Self {
             serving: serving.clone(),
@@ -85,30 +79,30 @@
 }
 
 /// An accepted call.
-struct Exchange {
+pub(crate) struct Exchange {
     account: Option<AccountName>,
     body: Bytes,
-    call: CallHead,
+    pub(crate) call: CallHead,
     connect_failures: u32,
     /// When the answer is of no use any more.
-    ends_at: TokioInstant,
+    pub(crate) ends_at: TokioInstant,
     /// True once an attempt may have run.
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     /// Rank of the call; 0 is the most urgent.
     priority: u8,
-    received_at: TokioInstant,
-    route: Arc<PolicyRoute>,
-    sends: u32,
+    pub(crate) received_at: TokioInstant,
+    pub(crate) route: Arc<PolicyRoute>,
+    pub(crate) sends: u32,
     service: ServiceName,
-    serving: Rc<Serving>,
+    pub(crate) serving: Rc<Serving>,
     tried: SmallVec<[ServerName; 4]>,
     units: f64,
 }
 
 /// One attempt at a server; ends it in the fleet when dropped.
-struct Attempt {
-    end: AttemptEnd,
-    placed: Placed,
+pub(crate) struct Attempt {
+    pub(crate) end: AttemptEnd,
+    pub(crate) placed: Placed,
     serving: Rc<Serving>,
 }
 
@@ -256,18 +250,8 @@
                 let first_event = self.received_at.elapsed();
                 self.serving.metrics.first_token(first_event);
                 let head = answer.head;
-                let relay = Relay {
-                    _in_flight: InFlight::new(&self.serving),
-                    body: answer.body,
-                    centre: attempt.placed.data_centre.clone(),
-                    attempt: Some(attempt),
-                    ended: false,
-                    events: SseParser::default(),
-                    exchange: self,
-                    last_event_id: None,
-                };
-                let stream = futures_util::stream::unfold(relay, Relay::next);
-                respond(&head, BodyStream::new(Box::pin(stream)).boxed())
+                let stream = Relay::start(self, attempt, answer.body);
+                respond(&head, BodyStream::new(stream).boxed())
             }
             Err(error) => {
                 if error.outcome() == Outcome::NotRun
@@ -287,7 +271,7 @@
     }
 
     /// Sends attempts until one is answered or none is left.
-    async fn carry(&mut self, last_event_id: Option<&str>) -> Result<Carried> {
+    pub(crate) async fn carry(&mut self, last_event_id: Option<&str>) -> Result<Carried> {
         loop {
             let attempted = self.attempt(last_event_id).await?;
             match attempted {
@@ -517,13 +501,17 @@
     }
 
     /// True if the call may be sent to one more server, paid from the retry budget.
-    fn may_send_again(&self) -> bool {
+    pub(crate) fn may_send_again(&self) -> bool {
         if self.sends >= self.route.attempts_max {
             return false;
         }
         let account = self.account.clone().unwrap_or_default();
         let mut budget = self.serving.budget.borrow_mut();
-        budget.withdraw(&account, &self.service)
+        let paid = budget.withdraw(&account, &self.service);
+        if paid {
+            self.serving.metrics.retry(Failure::Broken);
+        }
+        paid
     }
 
     /// True if a server's failure may be another one's success.
@@ -553,14 +541,14 @@
         }
     }
 
-    fn lost(&self, reason: String) -> Error {
+    pub(crate) fn lost(&self, reason: String) -> Error {
         Error::DispatchLost {
             reason,
             server: self.tried.last().cloned().unwrap_or_default(),
         }
     }
 
-    fn timed_out(&self) -> Error {
+    pub(crate) fn timed_out(&self) -> Error {
         if !self.may_have_run {
             return self.refused();
         }
@@ -570,7 +558,7 @@
         }
     }
 
-    fn log_failed(&self, stage: &str, reason: &str) {
+    pub(crate) fn log_failed(&self, stage: &str, reason: &str) {
         let server = self.tried.last().map_or("", |server| server.as_str());
         warn!(
             "attempt request={} server={server} end={stage} sends={} reason=\"{}\"",
@@ -580,7 +568,8 @@
         );
     }
 
-    fn log_finish(&self, outcome: &str, status: u16, server: &str) {
+    pub(crate) fn log_finish(&self, outcome: &str, status: u16, server: &str) {
+        self.serving.metrics.call(self.received_at.elapsed());
         self.serving.metrics.outcome(Outcome::Whole, "ok");
         info!(
             "finish request={} outcome={outcome} status={status} server={server} ms={}",
@@ -591,212 +580,7 @@
 }
 
 /// An answer at hand.
-enum Carried {
+pub(crate) enum Carried {
     Stream(Attempt, Box<LinkAnswer>),
     Whole(Attempt, Box<ResponseHead>, Bytes),
 }
-
-/// Passes an event stream on, whole event by whole event.
-struct Relay {
-    _in_flight: InFlight,
-    attempt: Option<Attempt>,
-    body: LinkBody,
-    /// Data centre of the server.
-    centre: DataCentreName,
-    ended: bool,
-    events: SseParser,
-    exchange: Exchange,
-    last_event_id: Option<SmolStr>,
-}
-
-impl Relay {
-    async fn next(mut self) -> Option<(Result<Bytes>, Self)> {
-        if self.ended {
-            return None;
-        }
-        loop {
-            if let Some(events) = self.take_events() {
-                return Some((Ok(events), self));
-            }
-            let ends_at = self.patience();
-            let can_move = ends_at < self.exchange.ends_at;
-            let read = tokio::select! {
-                biased;
-                read = timeout_at(ends_at, self.body.next()) => read,
-                () = wait_for_cut(&self.exchange.serving, &self.centre), if can_move => {
-                    match self.go_on("data centre was cut off".to_owned()).await {
-                        Ok(()) => continue,
-                        Err(error) => return Some(self.end_broken(error).await),
-                    }
-                }
-            };
-            let chunk = match read {
-                Ok(Some(Ok(chunk))) => chunk,
-                Ok(None) => return self.end_whole().await,
-                Ok(Some(Err(error))) => match self.go_on(error.reason).await {
-                    Ok(()) => continue,
-                    Err(error) => return Some(self.end_broken(error).await),
-                },
-                Err(_) if ends_at < self.exchange.ends_at => {
-                    match self.go_on("stream fell silent".to_owned()).await {
-                        Ok(()) => continue,
-                        Err(error) => return Some(self.end_broken(error).await),
-                    }
-                }
-                Err(_) => {
-                    let error = self.exchange.timed_out();
-                    return Some(self.end_broken(error).await);
-                }
-            };
-            if let Err(error) = self.events.push(&chunk) {
-                return Some(self.end_broken(error).await);
-            }
-        }
-    }
-
-    /// All whole events received so far.
-    fn take_events(&mut self) -> Option<Bytes> {
-        let mut joined: Option<BytesMut> = None;
-        let mut single: Option<Bytes> = None;
-        while let Some(event) = self.events.next_event() {
-            if let Some(id) = id_of_event(&event) {
-                self.last_event_id = Some(id.into());
-            }
-            match (&mut joined, single.take()) {
-                (Some(joined), _) => joined.extend_from_slice(&event),
-                (None, None) => single = Some(event),
-                (None, Some(first)) => {
-                    let mut both = BytesMut::with_capacity(first.len() + event.len());
-                    both.extend_from_slice(&first);
-                    both.extend_from_slice(&event);
-                    joined = Some(both);
-                }
-            }
-        }
-        joined.map(BytesMut::freeze).or(single)
-    }
-
-    fn patience(&self) -> TokioInstant {
-        let exchange = &self.exchange;
-        let can_resume = exchange.route.call_kind == CallKind::Stream { resumable: true }
-            && exchange.sends < exchange.route.attempts_max;
-        if !can_resume {
-            return exchange.ends_at;
-        }
-        let gap = exchange.route.gap_target.mul_f64(GAP_PATIENCE_TARGETS);
-        (TokioInstant::now() + gap).min(exchange.ends_at)
-    }
-
-    /// Goes on at another server after the last event that was passed on.
-    async fn go_on(&mut self, reason: String) -> Result {
-        if let Some(attempt) = &mut self.attempt {
-            attempt.end = AttemptEnd::Broken;
-        }
-        self.attempt = None;
-        self.events.clear();
-        self.exchange.may_have_run = true;
-        self.exchange.log_failed("broken-stream", &reason);
-        let resumable = self.exchange.route.call_kind.is_repeatable();
-        if !resumable || !self.exchange.may_send_again() {
-            return Err(self.exchange.lost(reason));
-        }
-        let last_event_id = self.last_event_id.clone();
-        match self.exchange.carry(last_event_id.as_deref()).await? {
-            Carried::Stream(attempt, answer) => {
-                self.centre = attempt.placed.data_centre.clone();
-                self.attempt = Some(attempt);
-                self.body = answer.body;
-                Ok(())
-            }
-            Carried::Whole(..) => Err(self.exchange.lost(reason)),
-        }
-    }
-
-    async fn end_whole(mut self) -> Option<(Result<Bytes>, Self)> {
-        if self.events.has_partial() {
-            let error = self
-                .exchange
-                .lost("stream ended inside an event".to_owned());
-            return Some(self.end_broken(error).await);
-        }
-        let attempt = self.attempt.as_mut()?;
-        attempt.end = AttemptEnd::Whole;
-        let server = attempt.placed.server.clone();
-        self.exchange.log_finish("whole", 200, &server);
-        None
-    }
-
-    /// Ends the caller's connection, so that the answer cannot be taken for a whole one.
-    async fn end_broken(mut self, error: Error) -> (Result<Bytes>, Self) {
-        // The connection is closed as soon as the error is seen; the events before it go first.
-        tokio::time::sleep(FLUSH_TIME).await;
-        warn!(
-            "finish request={} outcome=broken-stream ms={} reason=\"{error}\"",
-            self.exchange.call.request_id,
-            self.exchange.received_at.elapsed().as_millis(),
-        );
-        let code = error.status().1;
-        self.exchange
-            .serving
-            .metrics
-            .outcome(Outcome::Unknown, code);
-        self.ended = true;
-        (Err(error), self)
-    }
-}
-
-/// Headers that belong to one connection.
-const CONNECTION_HEADERS: [&str; 7] = [
-    "connection",
-    "content-length",
-    "keep-alive",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// True if a header belongs to one connection and is not passed on.
-pub fn is_connection_header(name: &str) -> bool {
-    CONNECTION_HEADERS.contains(&name)
-}
-
-fn respond(head: &ResponseHead, body: BoxBody) -> Response<BoxBody> {
-    let mut response = Response::with_body(head.status, body);
-    for (name, value) in head.headers() {
-        if !is_connection_header(name.as_str()) {
-            response.headers_mut().append(name.clone(), value.clone());
-        }
-    }
-    response
-}
-
-fn refuse(
-    serving: &Serving,
-    request_id: &str,
-    received_at: TokioInstant,
-    error: &Error,
-) -> Response<BoxBody> {
-    let (status, code) = error.status();
-    let outcome = error.outcome();
-    serving.metrics.outcome(outcome, code);
-    let age = serving.book.borrow().age(boot_time());
-    info!(
-        "finish request={request_id} outcome={} status={status} code={code} ms={} \
-         policy_age_ms={} reason=\"{error}\"",
-        outcome.as_str(),
-        received_at.elapsed().as_millis(),
-        age.map_or(0, |age| age.as_millis()),
-    );
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut builder = Response::build(status);
-    builder.insert_header((REQUEST_ID_HEADER, request_id));
-    builder.insert_header((finish::OUTCOME_HEADER, outcome.as_str()));
-    builder.insert_header(("content-type", "application/json"));
-    if let Some(retry_after) = error.retry_after() {
-        builder.insert_header(("retry-after", format!("{:.3}", retry_after.as_secs_f64())));
-    }
-    builder
-        .body(error_json(error).to_string())
-        .map_into_boxed_body()
-}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -11,6 +11,7 @@
 /// Instruments of one instance.
 #[derive(Clone)]
 pub struct Metrics {
+    call_ms: Histogram<f64>,
     control_bytes: Counter<u64>,
     first_token_ms: Histogram<f64>,
     invariant_violations: Counter<u64>,
@@ -37,6 +38,12 @@
         };
         let meter = provider.meter("ebonyspread");
         Self {
+            call_ms: meter
+                .f64_histogram("call_ms")
+                .with_boundaries(vec![
+                    10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0, 6_400.0,
+                ])
+                .build(),
             control_bytes: meter.u64_counter("control_bytes").build(),
             first_token_ms: meter
                 .f64_histogram("first_token_ms")
@@ -54,6 +61,11 @@
         }
     }
 
+    /// Records the time from a call's arrival to the end of its answer.
+    pub fn call(&self, elapsed: Duration) {
+        self.call_ms.record(elapsed.as_secs_f64() * 1_000.0, &[]);
+    }
+
     /// Counts bytes of control traffic by message kind and direction.
     pub fn control(&self, kind: &'static str, direction: &'static str, bytes: usize) {
         let labels = [
