--- a/src/duties.rs
+++ b/src/duties.rs
@@ -221,8 +221,9 @@
         let pending = self.state.borrow().pending.clone();
         if let Some((window, counts)) = pending {
             let sent = self.cloud.report_usage(fence, window, &counts).await;
+            let calls: u64 = counts.values().sum();
             info!(
-                "duty usage window={window} fence={fence} sent={}",
+                "duty usage window={window} calls={calls} fence={fence} sent={}",
                 sent.is_ok()
             );
             let overdue = self.since_end(window) > REPORT_UNTIL;
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -18,6 +18,9 @@
 /// Time for dropping the own address from the log at the end.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for the log's last lines to be written.
+const LOG_TIME: Duration = Duration::from_millis(50);
+
 /// Time that a read of the instances' topic waits; instances come and go rarely.
 const INSTANCES_WAIT: Duration = Duration::from_secs(10);
 
@@ -107,6 +110,8 @@
         warn!("peer entry was not dropped in time; peers notice the silence");
     }
     shutdown.cancel();
+    // The last lines are on their way to the output.
+    tokio::time::sleep(LOG_TIME).await;
     Ok(())
 }
 
