--- a/src/duties.rs
+++ b/src/duties.rs
@@ -239,7 +239,9 @@
         let Some(at) = self.state.borrow().lease.end() else {
             return;
         };
-        let counts = self.serving.usage.borrow().total(window);
+        let Some(counts) = self.serving.usage.borrow().total(boot_time(), window) else {
+            return;
+        };
         let entry = wire::duty_record::Entry::Usage(usage_wire(window, &counts));
         match self.append(at, USAGE_KEY, entry, false).await {
             Ok(true) => {
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -95,7 +95,7 @@
             policy_age_max: Cell::new(settings.policy_age_max),
             settings,
             shares: RefCell::new(ShareBook::new(seed)),
-            usage: RefCell::default(),
+            usage: RefCell::new(UsageBook::new(boot_time())),
             wall_clock: RefCell::new(WallClock::new(boot_time(), unix)),
         }
     }
--- a/src/usage_book.rs
+++ b/src/usage_book.rs
@@ -11,14 +11,29 @@
 /// Counts of one window by account.
 pub type UsageCounts = BTreeMap<AccountName, u64>;
 
+/// Time after a start in which peers tell what they counted: they tell it several times a second,
+/// and find a new instance in the log at once.
+pub const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
 /// Counts of this instance and, as they last told, of its peers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct UsageBook {
+    /// From when on the peers' counts are known.
+    settled_at: Duration,
     own: BTreeMap<UsageWindow, UsageCounts>,
     peers: HashMap<(InstanceName, u64), BTreeMap<UsageWindow, UsageCounts>>,
 }
 
 impl UsageBook {
+    /// Creates an empty book at the start of an instance.
+    pub fn new(started_at: Duration) -> Self {
+        Self {
+            own: BTreeMap::new(),
+            peers: HashMap::new(),
+            settled_at: started_at + SETTLE_TIME,
+        }
+    }
+
     /// Counts a call that began to run in a window.
     pub fn count(&mut self, window: UsageWindow, account: &AccountName) {
         let counts = self.own.entry(window).or_default();
@@ -48,8 +63,11 @@
         drop_oldest(known);
     }
 
-    /// Counts of all instances in a window.
-    pub fn total(&self, window: UsageWindow) -> UsageCounts {
+    /// Counts of all instances in a window; `None` before the peers had time to tell theirs.
+    pub fn total(&self, now: Duration, window: UsageWindow) -> Option<UsageCounts> {
+        if now < self.settled_at {
+            return None;
+        }
         let mut total = self.own.get(&window).cloned().unwrap_or_default();
         for windows in self.peers.values() {
             let Some(counts) = windows.get(&window) else {
@@ -59,7 +77,7 @@
                 *total.entry(account.clone()).or_default() += count;
             }
         }
-        total
+        Some(total)
     }
 }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -14,6 +14,8 @@
 mod policy_book;
 #[path = "decisions/prefill_rate.rs"]
 mod prefill_rate;
+#[path = "decisions/usage_book.rs"]
+mod usage_book;
 #[path = "decisions/use_limits.rs"]
 mod use_limits;
 #[path = "decisions/wall_clock.rs"]
