Remove what nothing reads; name prices by data centre

Cause: reading the change as a newcomer: columns, counts and accessors of the new modules that nothing uses, and a word of the platform outside platform/.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -175,7 +175,7 @@
             return;
         }
         let mut open: SmallVec<[DataCentreName; 4]> = SmallVec::new();
-        for (centre, _) in &policy.zone_prices {
+        for (centre, _) in &policy.centre_prices {
             let key = (centre.clone(), true);
             let leaving = view.counts.get(&key).map_or(0, |count| count.leaving);
             if leaving == 0 && !self.was_refused(now, &key) {
@@ -233,7 +233,7 @@
 
 /// What a fleet that stands was meant for: all of it but the spare for one data centre.
 fn standing_need(policy: &CapacityPolicy, view: &CapacityView) -> u32 {
-    let centres = (policy.zone_prices.len() as u32).max(1);
+    let centres = (policy.centre_prices.len() as u32).max(1);
     let others = (ready_sum(view, false) * (centres - 1).max(1)).div_ceil(centres);
     let spot = view.counts.iter().filter(|((_, kind), _)| *kind);
     let spot_most = spot.map(|(_, count)| count.ready).max().unwrap_or(0);
@@ -256,7 +256,7 @@
     need: u32,
     targets: &mut BTreeMap<(DataCentreName, bool), u32>,
 ) {
-    let mut centres: Vec<&(DataCentreName, f64)> = policy.zone_prices.iter().collect();
+    let mut centres: Vec<&(DataCentreName, f64)> = policy.centre_prices.iter().collect();
     centres.sort_by(|a, b| a.1.total_cmp(&b.1));
     let ready = |centre: &DataCentreName, spot: bool| {
         let count = view.counts.get(&(centre.clone(), spot));
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -54,8 +54,6 @@
     pub id: ServerName,
     /// True once it has announced that it leaves.
     pub leaving: bool,
-    /// Counts its reports in one life.
-    pub report_number: u64,
     /// Service that it runs.
     pub service: ServiceName,
     /// Calls that it runs at once.
@@ -308,14 +306,6 @@
         silent
     }
 
-    /// Servers of a service that may be sent new work.
-    pub fn ready_count(&self, service: &ServiceName) -> usize {
-        self.servers
-            .values()
-            .filter(|server| server.record.service == *service && !server.record.leaving)
-            .count()
-    }
-
     /// Takes what a peer tells of its calls at all servers.
     pub fn take_peer_loads(
         &mut self,
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -24,13 +24,8 @@
 pub enum Followed {
     /// A key has a new value, or was dropped.
     Change(KeyedRecord),
-    /// All records before an offset are known to a read that began at a time.
-    Proof {
-        /// Start of the read.
-        began_at: Duration,
-        /// First offset not covered.
-        read_to: LogOffset,
-    },
+    /// A read that began at this time saw the end of the log.
+    Proof(Duration),
     /// Reads fail, or work again.
     Reachable(bool),
 }
@@ -80,9 +75,8 @@
                 for change in view.take_page(page.items, has_more, page.end) {
                     tell(Followed::Change(change));
                 }
-                if let (false, KeyedNeed::Records { from }) = (has_more, view.need()) {
-                    let read_to = from;
-                    tell(Followed::Proof { began_at, read_to });
+                if !has_more {
+                    tell(Followed::Proof(began_at));
                 }
                 Ok(())
             }
@@ -101,8 +95,7 @@
                     tell(Followed::Change(change));
                 }
                 if covered >= end {
-                    let read_to = covered;
-                    tell(Followed::Proof { began_at, read_to });
+                    tell(Followed::Proof(began_at));
                 }
                 Ok(())
             }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -83,15 +83,6 @@
     pub fn known_count(&self) -> usize {
         self.by_name.len()
     }
-
-    /// Peers heard of late.
-    pub fn live_count(&self, now: Duration) -> usize {
-        let is_live = |peer: &&Peer| {
-            peer.heard
-                .is_some_and(|(heard_at, _)| now.saturating_sub(heard_at) < SILENT_AFTER)
-        };
-        self.by_name.values().filter(is_live).count()
-    }
 }
 
 /// Exchanges digests until the shutdown.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,8 +60,6 @@
 /// What is known of the engines of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EnginePolicy {
-    /// Tokens that running requests and cached prefixes share.
-    pub cache_tokens: u64,
     /// Requests that one engine runs at once.
     pub slots: u32,
 }
@@ -69,8 +67,6 @@
 /// Bounds and prices for ordering servers of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CapacityPolicy {
-    /// Time until an ordered server serves.
-    pub boot: Duration,
     /// Most servers in one data centre.
     pub servers_max: u32,
     /// Fewest servers in one data centre.
@@ -78,7 +74,7 @@
     /// Price of a reclaimable server as a fraction of another one's; `None` if there are none.
     pub spot_price: Option<f64>,
     /// Price of a server's second by data centre.
-    pub zone_prices: Vec<(DataCentreName, f64)>,
+    pub centre_prices: Vec<(DataCentreName, f64)>,
 }
 
 /// A service's columns.
@@ -86,8 +82,6 @@
 pub struct ServicePolicy {
     /// Bounds for orders; `None` if its servers are not ordered by us.
     pub capacity: Option<CapacityPolicy>,
-    /// Connections that one server accepts from all instances together.
-    pub connections_max: u32,
     /// Engine figures, if its servers are model engines.
     pub engine: Option<EnginePolicy>,
     /// Unique name.
@@ -127,8 +121,6 @@
     pub accounts: Vec<AccountPolicy>,
     /// Longest request body.
     pub body_max_bytes: usize,
-    /// Time for which callers may leave a connection idle.
-    pub idle_timeout: Duration,
     /// Routes by host, longest prefix first.
     routes: HashMap<SmolStr, Vec<Arc<PolicyRoute>>>,
     /// Services by name.
@@ -194,9 +186,4 @@
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServicePolicy>> {
         self.services.values()
     }
-
-    /// All routes, in no order.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<PolicyRoute>> {
-        self.routes.values().flatten()
-    }
 }
--- a/src/policy_book.rs
+++ b/src/policy_book.rs
@@ -12,8 +12,6 @@
 pub struct PolicyBook {
     fresh_at: Option<Duration>,
     in_force: Option<Arc<Policy>>,
-    /// First log offset that no read has covered yet.
-    read_to: LogOffset,
 }
 
 impl PolicyBook {
@@ -29,9 +27,8 @@
         true
     }
 
-    /// Records that a read which began at `began_at` saw all of the log before `read_to`.
-    pub fn prove(&mut self, began_at: Duration, read_to: LogOffset) {
-        self.read_to = self.read_to.max(read_to);
+    /// Records that a read which began at `began_at` saw the end of the log.
+    pub fn prove(&mut self, began_at: Duration) {
         self.fresh_at = self.fresh_at.max(Some(began_at));
     }
 
@@ -53,11 +50,6 @@
         self.in_force.as_ref()
     }
 
-    /// First log offset that no read has covered yet.
-    pub fn read_to(&self) -> LogOffset {
-        self.read_to
-    }
-
     /// Time since the policy was last proved to be the newest; `None` without a proof.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.fresh_at.map(|fresh_at| now.saturating_sub(fresh_at))
--- a/src/server_link.rs
+++ b/src/server_link.rs
@@ -111,7 +111,6 @@
     /// Shared by all codecs: each new one would start a clock task of its own.
     config: ServiceConfig,
     idle: RefCell<HashMap<LinkTarget, Vec<Link>>>,
-    opened: std::cell::Cell<u64>,
 }
 
 /// A call on its way.
@@ -153,11 +152,6 @@
 }
 
 impl ServerLinks {
-    /// Connections opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     /// Sends a call and waits for the head of its answer.
     pub async fn send(self: &Rc<Self>, call: LinkCall<'_>) -> Result<LinkAnswer, LinkError> {
         let mut link = match self.take_idle(&call.target) {
@@ -237,7 +231,6 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Link, LinkError> {
-        self.opened.set(self.opened.get() + 1);
         let connecting = TcpStream::connect(address);
         let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(stream)) => stream,
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -164,9 +164,7 @@
             Ok(None) => {}
             Err(error) => warn!("policy offset={} is passed over: {error}", record.offset),
         },
-        Followed::Proof { began_at, read_to } => {
-            serving.book.borrow_mut().prove(began_at, read_to);
-        }
+        Followed::Proof(began_at) => serving.book.borrow_mut().prove(began_at),
         Followed::Reachable(_) => {}
     };
     actix_rt::spawn(follow.run(tell, shutdown.clone()));
--- a/tests/decisions/capacity.rs
+++ b/tests/decisions/capacity.rs
@@ -131,11 +131,10 @@
 fn policy() -> CapacityPolicy {
     let prices = [0.85, 1.2, 1.0];
     CapacityPolicy {
-        boot: BOOT,
         servers_max: 12,
         servers_min: 1,
         spot_price: Some(0.22),
-        zone_prices: centres().into_iter().zip(prices).collect(),
+        centre_prices: centres().into_iter().zip(prices).collect(),
     }
 }
 
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -22,7 +22,6 @@
         data_centre: format!("dc-{}", index % 3).into(),
         id: format!("server-{index}").into(),
         leaving: false,
-        report_number: 1,
         service: "models".into(),
         slots: 96,
         spot: false,
--- a/tests/decisions/policy_book.rs
+++ b/tests/decisions/policy_book.rs
@@ -36,7 +36,7 @@
 #[test]
 fn age_counts_from_the_start_of_the_read() {
     let mut book = book(1);
-    book.prove(seconds(10), 3);
+    book.prove(seconds(10));
     assert!(book.fresh(seconds(14), AGE_MAX).is_ok());
     assert!(
         book.fresh(seconds(14) + Duration::from_millis(1), AGE_MAX)
@@ -47,15 +47,15 @@
 #[test]
 fn later_answer_of_an_earlier_read_does_not_make_it_older() {
     let mut book = book(1);
-    book.prove(seconds(12), 3);
-    book.prove(seconds(10), 3);
+    book.prove(seconds(12));
+    book.prove(seconds(10));
     assert_eq!(book.age(seconds(13)), Some(seconds(1)));
 }
 
 #[test]
 fn peer_vouches_only_for_the_same_version() {
     let mut book = book(2);
-    book.prove(seconds(1), 1);
+    book.prove(seconds(1));
     assert!(!book.prove_by_peer(3, seconds(9)));
     assert!(book.fresh(seconds(9), AGE_MAX).is_err());
     assert!(book.prove_by_peer(2, seconds(8)));
