Stop a stalled server before another goes on; bound the read of a refusal

A stream that went on elsewhere kept its old connection until the new answer began, so that a server that was slow rather than dead worked on beside the new one. The body of a refusal was read without a bound and its error dropped: a server that hung there held the caller for its whole time. The time up to which a usage report counts was a constant, though deployments set it.

Ruled out: leaving the old connection to the drop of the relay (it lives until the caller's answer ends); not reading refusals at all (each would cost a new connection).

Change: LinkBody::close before the resumed attempt; refusals are read for 50 ms, with a log line and a closed connection after that; usage_late is a setting, with usageLateS of the platform.

--- a/src/duties.rs
+++ b/src/duties.rs
@@ -32,8 +32,8 @@
 /// Time after a window's end at which it is reported: peers have told their counts twice by then.
 const REPORT_AFTER: Duration = Duration::from_millis(2_000);
 
-/// Time after a window's end up to which it is still reported; later reports count as missing.
-const REPORT_UNTIL: Duration = Duration::from_millis(9_500);
+/// Time before a report is late at which it is given up: a report on its way may take as long.
+const REPORT_MARGIN: Duration = Duration::from_millis(500);
 
 #[derive(Debug, Default)]
 struct DutyState {
@@ -226,7 +226,7 @@
                 "duty usage window={window} calls={calls} fence={fence} sent={}",
                 sent.is_ok()
             );
-            let overdue = self.since_end(window) > REPORT_UNTIL;
+            let overdue = self.since_end(window) > self.report_until();
             let mut state = self.state.borrow_mut();
             if sent.is_ok() || overdue {
                 state.pending = None;
@@ -259,13 +259,19 @@
         let first = self.serving.first_window;
         let reported = self.state.borrow().reported;
         let mut window = reported.map_or(first, |reported| reported + 1);
-        while self.since_end(window) > REPORT_UNTIL {
+        while self.since_end(window) > self.report_until() {
             window += 1;
         }
         let ended = self.serving.unix_now() >= self.end_of(window);
         (ended && self.since_end(window) >= REPORT_AFTER).then_some(window)
     }
 
+    /// Time after a window's end up to which it is still reported; later reports count as missing.
+    fn report_until(&self) -> Duration {
+        let usage_late = self.serving.settings.usage_late;
+        usage_late.saturating_sub(REPORT_MARGIN)
+    }
+
     fn end_of(&self, window: UsageWindow) -> Duration {
         self.serving.settings.usage_window * (window as u32 + 1)
     }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -33,6 +33,9 @@
 /// Least patience; shorter would take a busy server for a silent one.
 const HEAD_PATIENCE_MIN: Duration = Duration::from_millis(400);
 
+/// Time for the body of a refusal: it is short and comes with its head.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Retry time told when the servers refused a call.
 const REFUSED_RETRY: Duration = Duration::from_millis(300);
 
@@ -455,7 +458,7 @@
         match self.serving.dialect.read_answer(&answer.head) {
             AnswerKind::NotRun => {
                 attempt.end = AttemptEnd::Refused;
-                let _ = answer.body.read_whole(WHOLE_ANSWER_MAX_BYTES).await;
+                self.finish_refusal(answer.body).await;
                 return Ok(Attempted::NotRun("refused by the server".to_owned()));
             }
             AnswerKind::OtherServer => {
@@ -492,6 +495,17 @@
         }
     }
 
+    /// Reads a refusal's body, so that its connection can be used again; it is closed if the body
+    /// does not end in time.
+    async fn finish_refusal(&self, mut body: LinkBody) {
+        let reading = body.read_whole(WHOLE_ANSWER_MAX_BYTES);
+        match tokio::time::timeout(REFUSAL_BODY_TIMEOUT, reading).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => self.log_failed("refusal-cut", &error.reason),
+            Err(_) => self.log_failed("refusal-cut", "body did not end in time"),
+        }
+    }
+
     fn count_begun(&self) {
         let Some(account) = &self.account else {
             return;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -128,6 +128,8 @@
             attempt.end = AttemptEnd::Broken;
         }
         self.attempt = None;
+        // The server may be slow rather than dead: it has to stop before another one goes on.
+        self.body.close();
         self.events.clear();
         self.exchange.may_have_run = true;
         self.exchange.log_failed("broken-stream", &reason);
--- a/src/server_link.rs
+++ b/src/server_link.rs
@@ -414,6 +414,12 @@
         }
     }
 
+    /// Closes the connection unless the whole body was read, which makes the server stop its work.
+    pub fn close(&mut self) {
+        self.framing = Framing::Ended;
+        self.link = None;
+    }
+
     /// Reads all of the body up to a bound.
     pub async fn read_whole(&mut self, max_bytes: usize) -> Result<Bytes, LinkError> {
         let mut whole = BytesMut::new();
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -24,6 +24,8 @@
     pub limit_window: Duration,
     /// Longest time since the policy was last proved to be the newest.
     pub policy_age_max: Duration,
+    /// Time after a usage window's end up to which its report counts.
+    pub usage_late: Duration,
     /// Length of a usage window.
     pub usage_window: Duration,
 }
