Learn an engine's speed only from calls that found it idle and warm

Three reclaims had left too few engines, calls waited for seconds, and the learned rate of prefill fell with them (about a third of the true one), so that the need was taken for a hundred engines.

Ruled out: the demand (612,000 tokens a second, near the load offered), the bound by running calls (asked for 40 engines, not 120).

Change: only calls sent to a prompt's home, with no backlog believed there, are samples; 256 are kept.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -388,9 +388,8 @@
         let Some(prompt) = &self.call.prompt else {
             return;
         };
-        let uncached = prompt.tokens.saturating_sub(attempt.placed.cached_tokens);
         let mut fleet = self.serving.fleet.borrow_mut();
-        fleet.observe_first_event(&self.service, uncached, elapsed);
+        fleet.observe_first_event(&self.service, prompt, &attempt.placed, elapsed);
     }
 
     fn place(&mut self) -> Result<Placed> {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -179,10 +179,14 @@
 pub struct Placed {
     /// Address of the server.
     pub address: SocketAddr,
+    /// Time for which earlier prompts were believed to keep the server busy.
+    pub backlog: Duration,
     /// Prompt tokens believed to be in the server's cache.
     pub cached_tokens: u32,
     /// Data centre of the server.
     pub data_centre: DataCentreName,
+    /// True if the server is the one that all instances agree on for the prompt's shared parts.
+    pub is_home: bool,
     /// Name of the server.
     pub server: ServerName,
     /// Expected time until the answer begins.
@@ -332,15 +336,21 @@
         rates
     }
 
-    /// Takes the time to the first event of a call with so many prompt tokens not cached.
+    /// Takes the time to the first event of a call. Away from a prompt's home, parts that other
+    /// instances sent may be cached unknown to this one, which tells nothing of the engine.
     pub fn observe_first_event(
         &mut self,
         service: &ServiceName,
-        uncached_tokens: u32,
+        prompt: &Prompt,
+        placed: &Placed,
         elapsed: Duration,
     ) {
+        if !placed.is_home {
+            return;
+        }
+        let uncached = prompt.tokens.saturating_sub(placed.cached_tokens);
         let rate = self.prefill.entry(service.clone()).or_default();
-        rate.observe(uncached_tokens, elapsed);
+        rate.observe(uncached, placed.backlog, elapsed);
     }
 
     /// Prompt tokens that an engine of a service reads in a millisecond.
@@ -475,6 +485,7 @@
     ) -> Placed {
         let tokens_per_ms = self.tokens_per_ms(ask.service);
         let server = self.servers.get_mut(id).expect("chosen among the servers");
+        let backlog = server.backlog(now);
         server.running_here += 1;
         if ask.suspect {
             server.suspects_here += 1;
@@ -493,8 +504,10 @@
         }
         Placed {
             address: server.record.address,
+            backlog,
             cached_tokens,
             data_centre: server.record.data_centre.clone(),
+            is_home: at_home,
             server: id.clone(),
             wait: Duration::from_secs_f64(cost_ms / 1_000.0),
         }
--- a/src/prefill_rate.rs
+++ b/src/prefill_rate.rs
@@ -1,9 +1,10 @@
 //! Learns how many prompt tokens the engines of a service read in a millisecond, from the time to
 //! the first event of their answers.
 //!
-//! Calls that waited behind others show too low a rate, and calls whose prompt was cached though
-//! nobody knew show too high a one. So the rate is a high quantile of long prompts' samples, but
-//! not the highest.
+//! Only calls that were sent to an idle engine which holds their shared parts are samples: calls
+//! that waited would make a service at its worst load look slow, and so seem to need ever more
+//! engines. What is wrong with the remaining samples (a wait or a cold cache that nobody knew)
+//! makes them too low, never too high, so the rate is a high quantile.
 
 use super::*;
 
@@ -14,7 +15,7 @@
 const SAMPLE_TOKENS_MIN: u32 = 1_500;
 
 /// Samples kept.
-const SAMPLES_MAX: usize = 64;
+const SAMPLES_MAX: usize = 256;
 
 /// Samples before the rate is believed.
 const SAMPLES_MIN: usize = 16;
@@ -22,6 +23,9 @@
 /// Part of the samples that show a lower rate than the one believed.
 const QUANTILE: f64 = 0.75;
 
+/// Longest expected wait of a sample: a few steps of an engine.
+const SAMPLE_WAIT_MAX: Duration = Duration::from_millis(20);
+
 /// Rates beyond these are not those of engines.
 const TOKENS_PER_MS: std::ops::RangeInclusive<f64> = 2.0..=500.0;
 
@@ -33,9 +37,10 @@
 }
 
 impl PrefillRate {
-    /// Takes the time to the first event of a prompt with so many tokens not cached.
-    pub fn observe(&mut self, uncached_tokens: u32, elapsed: Duration) {
-        if uncached_tokens < SAMPLE_TOKENS_MIN {
+    /// Takes the time to the first event of a prompt with so many tokens not cached, sent to an
+    /// engine where it was expected to wait for `wait`.
+    pub fn observe(&mut self, uncached_tokens: u32, wait: Duration, elapsed: Duration) {
+        if uncached_tokens < SAMPLE_TOKENS_MIN || wait > SAMPLE_WAIT_MAX {
             return;
         }
         let elapsed_ms = (elapsed.as_secs_f64() * 1_000.0).max(1.0);
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -10,6 +10,7 @@
 use ebonyspread::fleet::PlaceAsk;
 use ebonyspread::fleet::Placed;
 use ebonyspread::fleet::ServerRecord;
+use ebonyspread::policy::ServicePolicy;
 use ebonyspread::prompt::Prompt;
 use ebonyspread::prompt::PromptPart;
 
@@ -159,3 +160,27 @@
     let second = place(&mut fleet, NOW, &prompt(1, 1), &tried);
     assert_ne!(second.server, first.server);
 }
+
+// The home of a hot prompt is busy, so that calls go elsewhere; there, parts that other instances
+// sent are cached unknown to this one.
+#[test]
+fn answers_away_from_a_prompts_home_tell_nothing_of_the_engines() {
+    let service = ServiceName::from("models");
+    let mut fleet = fleet("dc-0", 3);
+    for own in 0..200 {
+        let prompt = prompt(7, 1_000 + own);
+        let placed = place(&mut fleet, NOW, &prompt, &[]);
+        let elapsed = match placed.is_home {
+            true => Duration::from_millis(250),
+            false => Duration::from_millis(10),
+        };
+        fleet.observe_first_event(&service, &prompt, &placed, elapsed);
+    }
+    let policy = ServicePolicy {
+        capacity: None,
+        engine: None,
+        name: service,
+    };
+    let rate_per_s = fleet.capacity_view(NOW, &policy).prefill_rate_per_s;
+    assert!(rate_per_s <= 30_000.0, "{rate_per_s}");
+}
