Take a home that is still cold for no sample of its engine's speed

Reclaims move the homes of many prompts at once; the new homes read the shared parts first, which looked like slow reading.

Change: a home counts as warm for this instance once it sent the shared parts there before.

Before: the new test failed with the rule left out (rate 21 of 30 and more tokens a ms).

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -185,8 +185,9 @@
     pub cached_tokens: u32,
     /// Data centre of the server.
     pub data_centre: DataCentreName,
-    /// True if the server is the one that all instances agree on for the prompt's shared parts.
-    pub is_home: bool,
+    /// True if the server is the one that all instances agree on for the prompt's shared parts, and
+    /// this instance sent it these parts before.
+    pub is_warm_home: bool,
     /// Name of the server.
     pub server: ServerName,
     /// Expected time until the answer begins.
@@ -336,8 +337,9 @@
         rates
     }
 
-    /// Takes the time to the first event of a call. Away from a prompt's home, parts that other
-    /// instances sent may be cached unknown to this one, which tells nothing of the engine.
+    /// Takes the time to the first event of a call, if it tells something of the engine. Away from
+    /// a prompt's home, parts that other instances sent may be cached unknown to this one; a home
+    /// that just became one may not hold what it is believed to hold.
     pub fn observe_first_event(
         &mut self,
         service: &ServiceName,
@@ -345,7 +347,7 @@
         placed: &Placed,
         elapsed: Duration,
     ) {
-        if !placed.is_home {
+        if !placed.is_warm_home {
             return;
         }
         let uncached = prompt.tokens.saturating_sub(placed.cached_tokens);
@@ -491,7 +493,10 @@
             server.suspects_here += 1;
         }
         let mut cached_tokens = 0;
+        let mut is_warm_home = false;
         if let Some(prompt) = ask.prompt {
+            let cached_here = server.prefixes.cached_blocks(prefixes);
+            is_warm_home = at_home && cached_here >= prompt.shared_count();
             let cached_parts = server.cached_parts(prompt, prefixes, at_home);
             cached_tokens = prompt.tokens_in(cached_parts);
             let uncached = f64::from(prompt.tokens - cached_tokens.min(prompt.tokens));
@@ -507,7 +512,7 @@
             backlog,
             cached_tokens,
             data_centre: server.record.data_centre.clone(),
-            is_home: at_home,
+            is_warm_home,
             server: id.clone(),
             wait: Duration::from_secs_f64(cost_ms / 1_000.0),
         }
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -170,7 +170,7 @@
     for own in 0..200 {
         let prompt = prompt(7, 1_000 + own);
         let placed = place(&mut fleet, NOW, &prompt, &[]);
-        let elapsed = match placed.is_home {
+        let elapsed = match placed.is_warm_home {
             true => Duration::from_millis(250),
             false => Duration::from_millis(10),
         };
@@ -184,3 +184,22 @@
     let rate_per_s = fleet.capacity_view(NOW, &policy).prefill_rate_per_s;
     assert!(rate_per_s <= 30_000.0, "{rate_per_s}");
 }
+
+// Reclaims move the homes of many prompts at once: the new ones read the shared parts first.
+#[test]
+fn answers_of_a_home_that_is_still_cold_tell_nothing_of_the_engines() {
+    let service = ServiceName::from("models");
+    let mut fleet = fleet("dc-0", 6);
+    for shared in 0..200 {
+        let prompt = prompt(shared, 1_000 + shared);
+        let placed = place(&mut fleet, NOW + Duration::from_secs(shared), &prompt, &[]);
+        fleet.observe_first_event(&service, &prompt, &placed, Duration::from_millis(300));
+    }
+    let policy = ServicePolicy {
+        capacity: None,
+        engine: None,
+        name: service,
+    };
+    let rate_per_s = fleet.capacity_view(NOW, &policy).prefill_rate_per_s;
+    assert!(rate_per_s >= 30_000.0, "{rate_per_s}");
+}
