Read the log at two instances of a large data centre; go on with a peer's reads when turned away

An instance that the store turned away served an old policy until its keys lapsed.

Ruled out: fewer reads by each (a leaving server must get no work after two seconds); the registry in datagrams (heartbeats are most of it, and a lost one needs a second way); one reader (its loss would stop a data centre).

Change: an instance answers reads of topics from what it knows (topic_feed, feed_service), over the framing and connections that instances already had (peer_server, peer_link; both edges now share them). shared_log asks peers in place of the log where more than four instances share a data centre, and where the log does not answer; how old an answer is goes with it, in the asker's clock. Only those that read the log compete for the lease. Waits and pauses of the reads moved from platform/ into the library: they are decisions.

The test of an instance that is turned away fails with the neighbours left out; 58 decision tests and 24 of the deployed program pass.

--- a/src/duties.rs
+++ b/src/duties.rs
@@ -77,6 +77,11 @@
         loop {
             let step = self.state.borrow().lease.next(boot_time());
             let held = self.state.borrow().lease.fence(boot_time());
+            if held.is_none() && !self.serving.reads_log() {
+                // Those that read the log for their data centre are enough to compete.
+                tokio::time::sleep(LEASE).await;
+                continue;
+            }
             let done = match step {
                 LeaseStep::Append { .. } if self.serving.draining.get() => {
                     tokio::time::sleep(LEASE).await;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -219,7 +219,8 @@
             table: table.clone(),
         });
         let peer_listener = into_tokio(peer_listener)?;
-        start_peer_server(peer_listener, peers, settings.clone(), metrics, shutdown);
+        let service = PeerActorService::new(peers, &settings);
+        start_peer_server(peer_listener, Rc::new(service), metrics, shutdown);
         start_polling(&context);
         let (admin, admin_address) = start_admin(&context, table)?;
         let (callers, caller_address) = start_callers(&context)?;
@@ -325,7 +326,12 @@
         peer_address,
     };
     let members = Members::new(own, settings.peers.clone());
-    let links = PeerLinks::new(settings, metrics.clone(), shutdown.clone());
+    let links = PeerLinks::new(
+        settings.instance.clone(),
+        settings.peer_key.as_str().into(),
+        metrics.clone(),
+        shutdown.clone(),
+    );
     PeerActor::new(members, links, router.clone(), claims.clone()).start()
 }
 
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -11,7 +11,8 @@
 pub struct Follow {
     /// The log.
     pub log: Rc<dyn TopicLog>,
-    /// Pause between reads, so that frequent records are read together.
+    /// Pause between reads of the log, so that frequent records are read together. Peers tell
+    /// only what changes something and are asked at once.
     pub pause: Duration,
     /// Name of the topic.
     pub topic: &'static str,
@@ -24,8 +25,13 @@
 pub enum Followed {
     /// A key has a new value, or was dropped.
     Change(KeyedRecord),
-    /// A read that began at this time saw the end of the log.
-    Proof(Duration),
+    /// A read showed that the topic had no more records.
+    Proof {
+        /// When it had no more.
+        at: Duration,
+        /// End of the topic then.
+        end: LogOffset,
+    },
     /// Reads fail, or work again.
     Reachable(bool),
 }
@@ -48,7 +54,8 @@
                 read = self.read(&mut view, began_at, &mut tell) => read,
             };
             let pause = match &read {
-                Ok(()) => self.pause,
+                Ok(ReadSource::Log) => self.pause,
+                Ok(ReadSource::Peer { .. }) => Duration::ZERO,
                 Err(_) => RETRY_PAUSE,
             };
             if read.is_ok() != reachable {
@@ -67,37 +74,41 @@
         view: &mut KeyedView,
         began_at: Duration,
         tell: &mut impl FnMut(Followed),
-    ) -> Result {
+    ) -> Result<ReadSource> {
         match view.need() {
             KeyedNeed::Page { after } => {
                 let page = self.log.newest(self.topic, after).await?;
-                let has_more = page.has_more;
-                for change in view.take_page(page.items, has_more, page.end) {
+                let source = page.source;
+                for change in view.take_page(page.items, page.has_more, page.end) {
                     tell(Followed::Change(change));
                 }
-                if !has_more {
-                    tell(Followed::Proof(began_at));
+                if let Some(end) = view.seen_to() {
+                    let at = source.proven_at(began_at);
+                    tell(Followed::Proof { at, end });
                 }
-                Ok(())
+                Ok(source)
             }
             KeyedNeed::Records { from } => {
                 let read = self.log.read(self.topic, from, self.wait).await?;
-                let (end, records) = match read {
-                    TopicRead::Records { end, records } => (end, records),
-                    TopicRead::Gone => {
-                        info!("follow topic={} records are gone; read anew", self.topic);
-                        view.start_over();
-                        return Ok(());
-                    }
+                let TopicRead::Records {
+                    end,
+                    next,
+                    records,
+                    source,
+                } = read
+                else {
+                    info!("follow topic={} records are gone; read anew", self.topic);
+                    view.start_over();
+                    return Ok(ReadSource::Log);
                 };
-                let covered = records.last().map_or(from, |(offset, _)| offset + 1);
-                for change in view.take_records(self.keyed(records)) {
+                for change in view.take_records(self.keyed(records), next) {
                     tell(Followed::Change(change));
                 }
-                if covered >= end {
-                    tell(Followed::Proof(began_at));
+                if next >= end {
+                    let at = source.proven_at(began_at);
+                    tell(Followed::Proof { at, end });
                 }
-                Ok(())
+                Ok(source)
             }
         }
     }
@@ -113,9 +124,9 @@
         keyed
     }
 
-    fn log_reachable(&self, read: &Result) {
+    fn log_reachable(&self, read: &Result<ReadSource>) {
         match read {
-            Ok(()) => info!("dependency name=log topic={} regained", self.topic),
+            Ok(_) => info!("dependency name=log topic={} regained", self.topic),
             Err(error) => {
                 warn!(
                     "dependency name=log topic={} lost reason=\"{error}\"",
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -32,59 +32,6 @@
 /// Topic with the instances' addresses, by instance name.
 pub const INSTANCES_TOPIC: &str = "keyed.instances";
 
-/// A peer.
-#[derive(Debug)]
-struct Peer {
-    address: SocketAddr,
-    /// When it was last heard, and the time of sending that it told.
-    heard: Option<(Duration, Duration)>,
-}
-
-/// All peers.
-#[derive(Debug, Default)]
-pub struct Peers {
-    by_name: BTreeMap<InstanceName, Peer>,
-}
-
-impl Peers {
-    /// Takes a record of the instances' topic.
-    pub fn take_record(&mut self, record: &KeyedRecord, own: &InstanceName) {
-        if record.key == *own {
-            return;
-        }
-        let address = record.value.as_ref().and_then(|value| {
-            let entry = wire::InstanceRecord::decode(value.clone()).ok()?;
-            entry.peer_address.parse().ok()
-        });
-        match address {
-            Some(address) => {
-                info!("peer instance={} address={address}", record.key);
-                let heard = None;
-                self.by_name
-                    .insert(record.key.clone(), Peer { address, heard });
-            }
-            None => {
-                info!("peer instance={} left", record.key);
-                self.by_name.remove(&record.key);
-            }
-        }
-    }
-
-    /// Records that a peer was heard; a peer that the log does not know yet is entered.
-    fn hear(&mut self, now: Duration, name: &InstanceName, address: SocketAddr, sent: Duration) {
-        let peer = self.by_name.entry(name.clone()).or_insert(Peer {
-            address,
-            heard: None,
-        });
-        peer.heard = Some((now, sent));
-    }
-
-    /// Peers that the log knows.
-    pub fn known_count(&self) -> usize {
-        self.by_name.len()
-    }
-}
-
 /// Exchanges digests until the shutdown.
 pub async fn run_gossip(serving: Rc<Serving>, socket: UdpSocket, shutdown: CancellationToken) {
     let socket = Rc::new(socket);
@@ -150,7 +97,7 @@
         return;
     }
     let mut peers = serving.peers.borrow_mut();
-    peers.hear(now, peer, address, digest.sent);
+    peers.hear(now, peer, address, &digest.data_centre, digest.sent);
     // The proof counts from when this instance sent what the peer had heard: later than that the
     // peer vouched, however long the datagram took.
     if let (Some(echoed), Some(age)) = (digest.echoed, digest.policy_age) {
@@ -190,7 +137,7 @@
 
 fn targets(serving: &Serving, now: Duration, round: u64) -> Vec<(SocketAddr, Option<Duration>)> {
     let mut targets = Vec::new();
-    for peer in serving.peers.borrow().by_name.values() {
+    for (_, peer) in serving.peers.borrow().iter() {
         let silent = peer
             .heard
             .is_none_or(|(heard_at, _)| now.saturating_sub(heard_at) > SILENT_AFTER);
--- a/src/keyed_view.rs
+++ b/src/keyed_view.rs
@@ -95,14 +95,17 @@
         changes
     }
 
-    /// Takes records read from the offset asked for up to `end`; returns the changes.
-    pub fn take_records(&mut self, records: Vec<KeyedRecord>) -> Vec<KeyedRecord> {
-        if let Some(last) = records.last() {
-            self.next_offset = self.next_offset.max(last.offset + 1);
-        }
+    /// Takes records read from the offset asked for up to `next`; returns the changes.
+    pub fn take_records(&mut self, records: Vec<KeyedRecord>, next: LogOffset) -> Vec<KeyedRecord> {
+        self.next_offset = self.next_offset.max(next);
         self.keep_newer(records)
     }
 
+    /// Offset up to which everything was seen; `None` before the last page.
+    pub fn seen_to(&self) -> Option<LogOffset> {
+        self.following.then_some(self.next_offset)
+    }
+
     /// The records asked for are gone: starts over from pages.
     pub fn start_over(&mut self) {
         self.after = None;
--- a/src/peer_actor.rs
+++ b/src/peer_actor.rs
@@ -4,6 +4,7 @@
 
 use std::sync::atomic::Ordering;
 
+use futures_util::future::LocalBoxFuture;
 use wire::frame::Body;
 
 /// Time for an answer of a peer in the same data centre or another.
@@ -429,6 +430,38 @@
     }
 }
 
+/// Hands the frames of peers to the actor.
+pub struct PeerActorService {
+    key: SmolStr,
+    peers: Addr<PeerActor>,
+}
+
+impl PeerActorService {
+    /// Creates the service for an actor, with the peer key of the settings.
+    pub fn new(peers: Addr<PeerActor>, settings: &Settings) -> Self {
+        Self {
+            key: settings.peer_key.as_str().into(),
+            peers,
+        }
+    }
+}
+
+impl PeerService for PeerActorService {
+    fn answer(&self, inbound: InboundFrame) -> LocalBoxFuture<'static, Option<Body>> {
+        let answer = self.peers.send(inbound);
+        // An actor that has ended answers nothing.
+        Box::pin(async move { answer.await.ok().flatten() })
+    }
+
+    fn peer_key(&self) -> &str {
+        &self.key
+    }
+
+    fn take(&self, inbound: InboundFrame) {
+        self.peers.do_send(inbound);
+    }
+}
+
 impl Actor for PeerActor {
     type Context = actix::Context<Self>;
 
--- a/src/peer_codec.rs
+++ b/src/peer_codec.rs
@@ -74,6 +74,8 @@
         Some(Body::TableNotice(_)) => "table_notice",
         Some(Body::TableReply(_)) => "table_reply",
         Some(Body::TableRequest(_)) => "table_request",
+        Some(Body::TopicReadReply(_)) => "topic_read_reply",
+        Some(Body::TopicReadRequest(_)) => "topic_read_request",
         Some(Body::Vouch(_)) => "vouch",
         Some(Body::VouchRequest(_)) => "vouch_request",
         None => "empty",
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -41,11 +41,16 @@
 }
 
 impl PeerLinks {
-    /// Creates links that show the peer key of the settings.
-    pub fn new(settings: &Settings, metrics: Metrics, shutdown: CancellationToken) -> Self {
+    /// Creates links that show a peer key.
+    pub fn new(
+        instance: InstanceName,
+        key: SmolStr,
+        metrics: Metrics,
+        shutdown: CancellationToken,
+    ) -> Self {
         Self {
-            instance: settings.instance.clone(),
-            key: settings.peer_key.as_str().into(),
+            instance,
+            key,
             links: Rc::default(),
             metrics,
             next_request_id: Rc::default(),
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -2,7 +2,10 @@
 
 use super::*;
 
+use std::rc::Rc;
+
 use futures_util::SinkExt;
+use futures_util::future::LocalBoxFuture;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -22,11 +25,22 @@
 /// Answers that are worked on for one connection.
 const ANSWERS_MAX: usize = 1_024;
 
+/// What an instance does with the frames of its peers.
+pub trait PeerService {
+    /// Answers a request; `None` if there is nothing to say.
+    fn answer(&self, inbound: InboundFrame) -> LocalBoxFuture<'static, Option<Body>>;
+
+    /// Key that peers have to show.
+    fn peer_key(&self) -> &str;
+
+    /// Takes a frame that is not answered.
+    fn take(&self, inbound: InboundFrame);
+}
+
 /// Serves peers on a bound listener until the shutdown token.
 pub fn start_peer_server(
     listener: TcpListener,
-    peers: Addr<PeerActor>,
-    settings: Arc<Settings>,
+    service: Rc<dyn PeerService>,
     metrics: Metrics,
     shutdown: CancellationToken,
 ) {
@@ -46,8 +60,7 @@
             let connection = Connection {
                 address,
                 metrics: metrics.clone(),
-                peers: peers.clone(),
-                settings: settings.clone(),
+                service: service.clone(),
                 shutdown: shutdown.clone(),
             };
             actix_rt::spawn(async move {
@@ -63,8 +76,7 @@
 struct Connection {
     address: SocketAddr,
     metrics: Metrics,
-    peers: Addr<PeerActor>,
-    settings: Arc<Settings>,
+    service: Rc<dyn PeerService>,
     shutdown: CancellationToken,
 }
 
@@ -94,7 +106,7 @@
             return Err(self.failed("first frame is not a hello".to_owned()));
         };
         let given = hash_account_key(&hello.key);
-        let wanted = hash_account_key(&self.settings.peer_key);
+        let wanted = hash_account_key(self.service.peer_key());
         match bool::from(given.ct_eq(&wanted)) {
             true => Ok(hello.instance.into()),
             false => Err(self.failed("peer key is wrong".to_owned())),
@@ -127,7 +139,7 @@
         }
     }
 
-    /// Hands a frame to the peer actor; its answer, if any, is written when it is there.
+    /// Hands a frame to the service; its answer, if any, is written when it is there.
     fn take(&self, frame: wire::Frame, from: &InstanceName, answers: &mpsc::Sender<wire::Frame>) {
         let Some(body) = frame.body else {
             return;
@@ -135,7 +147,7 @@
         let from = from.clone();
         let inbound = InboundFrame { body, from };
         if frame.request_id == 0 {
-            self.peers.do_send(inbound);
+            self.service.take(inbound);
             return;
         }
         let Ok(permit) = answers.clone().try_reserve_owned() else {
@@ -145,9 +157,9 @@
             );
             return;
         };
-        let peers = self.peers.clone();
+        let answer = self.service.answer(inbound);
         actix_rt::spawn(async move {
-            let body = peers.send(inbound).await.ok().flatten();
+            let body = answer.await;
             permit.send(wire::Frame {
                 request_id: frame.request_id,
                 body,
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -42,6 +42,10 @@
     pub dialect: Box<dyn Dialect>,
     /// True once the instance is stopping.
     pub draining: Cell<bool>,
+    /// Number of changes that feeds took; wakes peers' reads.
+    pub feed_changes: watch::Sender<u64>,
+    /// What is known of the log's topics, for peers that read them here.
+    pub feeds: RefCell<HashMap<&'static str, TopicFeed>>,
     /// Backend servers.
     pub fleet: RefCell<Fleet>,
     /// Usage window in which the instance started.
@@ -86,6 +90,8 @@
             cuts: watch::Sender::new(0),
             dialect,
             draining: Cell::new(false),
+            feed_changes: watch::Sender::new(0),
+            feeds: RefCell::default(),
             fleet: RefCell::new(Fleet::new(settings.data_centre.clone())),
             first_window: window_of(unix, settings.usage_window),
             in_flight: Cell::new(0),
@@ -102,6 +108,30 @@
         }
     }
 
+    /// Takes a change of a topic for peers that read it here.
+    pub fn feed_change(&self, topic: &'static str, record: KeyedRecord) {
+        self.feeds
+            .borrow_mut()
+            .entry(topic)
+            .or_default()
+            .take(record);
+        self.feed_changes.send_modify(|count| *count += 1);
+    }
+
+    /// Takes the proof that a topic ended at `end` at a time.
+    pub fn feed_proof(&self, topic: &'static str, at: Duration, end: LogOffset) {
+        let mut feeds = self.feeds.borrow_mut();
+        feeds.entry(topic).or_default().prove(at, end);
+    }
+
+    /// True if this instance reads the log itself rather than at a peer.
+    pub fn reads_log(&self) -> bool {
+        let settings = &self.settings;
+        let peers = self.peers.borrow();
+        let readers = peers.readers(boot_time(), &settings.instance, &settings.data_centre);
+        readers.is_empty()
+    }
+
     /// True if callers should be sent here: a fresh policy is in force and the instance stays.
     pub fn is_ready(&self) -> bool {
         let fresh = self
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -21,9 +21,23 @@
 /// Time for the log's last lines to be written.
 const LOG_TIME: Duration = Duration::from_millis(50);
 
+/// Time that a read of the operators' topic waits: several proofs of freshness fit into the time
+/// for a revoked key.
+const POLICY_WAIT: Duration = Duration::from_millis(1_400);
+
+/// Time that a read of the servers' topic waits; their heartbeats end it sooner.
+const SERVERS_WAIT: Duration = Duration::from_secs(1);
+
+/// Pause between reads of the servers' topic; well under the time in which a leaving server must
+/// get no more work.
+const SERVERS_PAUSE: Duration = Duration::from_millis(800);
+
 /// Time that a read of the instances' topic waits; instances come and go rarely.
 const INSTANCES_WAIT: Duration = Duration::from_secs(10);
 
+/// Pause between reads of the instances' topic: many instances may start at once.
+const INSTANCES_PAUSE: Duration = Duration::from_secs(1);
+
 /// Pause between looks at the calls in progress during a stop.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -47,11 +61,11 @@
     /// Address for digests.
     pub peer_address: SocketAddr,
     /// Operators' topic.
-    pub policies: Follow,
+    pub policy_topic: &'static str,
     /// Reads the settings anew.
     pub reload: fn() -> Result<ServingSettings>,
     /// Servers' topic.
-    pub servers: Follow,
+    pub server_topic: &'static str,
     /// Listener for readiness and metrics.
     pub status: SocketAddr,
 }
@@ -79,8 +93,21 @@
         "start instance={} data_centre={} callers={} status={}",
         serving.settings.instance, serving.settings.data_centre, parts.callers, parts.status
     );
-    follow_policies(&serving, parts.policies, parts.decode_policy, &shutdown);
-    follow_servers(&serving, parts.servers, parts.decode_server, &shutdown);
+    let log = share_log(&serving, parts.log.clone(), parts.peer_address, &shutdown).await?;
+    let policies = Follow {
+        log: log.clone(),
+        pause: Duration::ZERO,
+        topic: parts.policy_topic,
+        wait: POLICY_WAIT,
+    };
+    let servers = Follow {
+        log,
+        pause: SERVERS_PAUSE,
+        topic: parts.server_topic,
+        wait: SERVERS_WAIT,
+    };
+    follow_policies(&serving, policies, parts.decode_policy, &shutdown);
+    follow_servers(&serving, servers, parts.decode_server, &shutdown);
     let socket = bind_gossip(parts.peer_address).await?;
     actix_rt::spawn(run_gossip(serving.clone(), socket, shutdown.clone()));
     follow_peers(&serving, parts.log.clone(), parts.peer_address, &shutdown);
@@ -115,6 +142,22 @@
     Ok(())
 }
 
+/// Serves peers that read the log here, and reads it at peers where it can.
+async fn share_log(
+    serving: &Rc<Serving>,
+    log: Rc<dyn TopicLog>,
+    address: SocketAddr,
+    shutdown: &CancellationToken,
+) -> Result<Rc<dyn TopicLog>> {
+    let listener = listen(address)?;
+    let metrics = serving.metrics.clone();
+    let service = Rc::new(FeedService::new(serving.clone()));
+    start_peer_server(listener, service, metrics.clone(), shutdown.clone());
+    let instance = serving.settings.instance.clone();
+    let links = PeerLinks::new(instance, SmolStr::default(), metrics, shutdown.clone());
+    Ok(Rc::new(SharedLog::new(log, serving.clone(), links)))
+}
+
 fn handle_signal(kind: SignalKind) -> Result<Signal> {
     signal(kind).map_err(|error| Error::Address {
         address: "signal handler".to_owned(),
@@ -158,13 +201,20 @@
     shutdown: &CancellationToken,
 ) {
     let serving = serving.clone();
+    let topic = follow.topic;
     let tell = move |followed| match followed {
-        Followed::Change(record) => match decode(&record) {
-            Ok(Some(policy)) => take_policy(&serving, policy, record.offset),
-            Ok(None) => {}
-            Err(error) => warn!("policy offset={} is passed over: {error}", record.offset),
-        },
-        Followed::Proof(began_at) => serving.book.borrow_mut().prove(began_at),
+        Followed::Change(record) => {
+            match decode(&record) {
+                Ok(Some(policy)) => take_policy(&serving, policy, record.offset),
+                Ok(None) => {}
+                Err(error) => warn!("policy offset={} is passed over: {error}", record.offset),
+            }
+            serving.feed_change(topic, record);
+        }
+        Followed::Proof { at, end } => {
+            serving.book.borrow_mut().prove(at);
+            serving.feed_proof(topic, at, end);
+        }
         Followed::Reachable(_) => {}
     };
     actix_rt::spawn(follow.run(tell, shutdown.clone()));
@@ -179,7 +229,7 @@
 ) {
     let follow = Follow {
         log: log.clone(),
-        pause: Duration::ZERO,
+        pause: INSTANCES_PAUSE,
         topic: INSTANCES_TOPIC,
         wait: INSTANCES_WAIT,
     };
@@ -213,41 +263,49 @@
     shutdown: &CancellationToken,
 ) {
     let serving = serving.clone();
-    let tell = move |followed| {
-        let Followed::Change(record) = followed else {
-            return;
-        };
-        take_server(&serving, &record, decode);
+    let topic = follow.topic;
+    let tell = move |followed| match followed {
+        Followed::Change(record) => {
+            if take_server(&serving, &record, decode) {
+                serving.feed_change(topic, record);
+            }
+        }
+        Followed::Proof { at, end } => serving.feed_proof(topic, at, end),
+        Followed::Reachable(_) => {}
     };
     actix_rt::spawn(follow.run(tell, shutdown.clone()));
 }
 
+/// Takes a server's record; true if it changed what is believed of the server.
 fn take_server(
     serving: &Serving,
     record: &KeyedRecord,
     decode: fn(&str, &[u8]) -> Result<ServerRecord>,
-) {
+) -> bool {
     let id = &record.key;
     let mut fleet = serving.fleet.borrow_mut();
     let Some(value) = &record.value else {
-        if fleet.remove(id) {
+        let removed = fleet.remove(id);
+        if removed {
             info!("server id={id} offset={} removed", record.offset);
         }
-        return;
+        return removed;
     };
     match decode(id, value) {
         Ok(server) => {
             let leaving = server.leaving;
-            if fleet.report(server) {
+            let changed = fleet.report(server);
+            if changed {
                 info!("server id={id} offset={} leaving={leaving}", record.offset);
             }
+            changed
         }
         Err(error) => {
             warn!(
                 "server id={id} offset={} is not used: {error}",
                 record.offset
             );
-            fleet.remove(id);
+            fleet.remove(id)
         }
     }
 }
--- a/src/topic_log.rs
+++ b/src/topic_log.rs
@@ -4,6 +4,28 @@
 
 use futures_util::future::LocalBoxFuture;
 
+/// Who answered a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadSource {
+    /// The log: the answer holds for the start of the call.
+    Log,
+    /// A peer that read the log.
+    Peer {
+        /// Time for which the answer holds.
+        proven_at: Duration,
+    },
+}
+
+impl ReadSource {
+    /// Time for which the answer of a call that began at `began_at` holds.
+    pub fn proven_at(self, began_at: Duration) -> Duration {
+        match self {
+            Self::Log => began_at,
+            Self::Peer { proven_at } => proven_at,
+        }
+    }
+}
+
 /// A page of the newest records of a keyed topic.
 #[derive(Debug)]
 pub struct KeyedPage {
@@ -13,6 +35,8 @@
     pub has_more: bool,
     /// Records by key.
     pub items: Vec<KeyedRecord>,
+    /// Who answered.
+    pub source: ReadSource,
 }
 
 /// Records read from an offset on.
@@ -24,8 +48,12 @@
     Records {
         /// End of the topic.
         end: LogOffset,
+        /// Offset from which to read on; before the end if the answer had no room for all.
+        next: LogOffset,
         /// Records.
         records: Vec<(LogOffset, Bytes)>,
+        /// Who answered.
+        source: ReadSource,
     },
 }
 
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -253,7 +253,7 @@
     pub request_id: u64,
     #[prost(
         oneof = "frame::Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -299,8 +299,49 @@
         SuspectNote(super::SuspectNote),
         #[prost(message, tag = "20")]
         LoadNote(super::LoadNote),
+        #[prost(message, tag = "21")]
+        TopicReadRequest(super::TopicReadRequest),
+        #[prost(message, tag = "22")]
+        TopicReadReply(super::TopicReadReply),
     }
 }
+/// Asks a peer for what it knows of a keyed topic of the log.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TopicReadRequest {
+    #[prost(string, tag = "1")]
+    pub topic: ::prost::alloc::string::String,
+    /// First offset; absent for the newest record of each key.
+    #[prost(uint64, optional, tag = "2")]
+    pub from: ::core::option::Option<u64>,
+    /// Time to wait for the first record.
+    #[prost(uint64, tag = "3")]
+    pub wait_ms: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TopicReadReply {
+    /// The records asked for are not kept any more.
+    #[prost(bool, tag = "1")]
+    pub gone: bool,
+    /// Offset from which to read on.
+    #[prost(uint64, tag = "2")]
+    pub end: u64,
+    /// Time before the request's arrival at which a read of the log showed that nothing beyond the
+    /// end was accepted; negative for a read after its arrival.
+    #[prost(sint64, tag = "3")]
+    pub age_ms: i64,
+    #[prost(message, repeated, tag = "4")]
+    pub records: ::prost::alloc::vec::Vec<TopicRecord>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TopicRecord {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// Absent if the key was dropped.
+    #[prost(bytes = "vec", optional, tag = "3")]
+    pub value: ::core::option::Option<::prost::alloc::vec::Vec<u8>>,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Hello {
     #[prost(string, tag = "1")]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -10,10 +10,14 @@
 mod keyed_view;
 #[path = "decisions/lease.rs"]
 mod lease;
+#[path = "decisions/peers.rs"]
+mod peers;
 #[path = "decisions/policy_book.rs"]
 mod policy_book;
 #[path = "decisions/prefill_rate.rs"]
 mod prefill_rate;
+#[path = "decisions/topic_feed.rs"]
+mod topic_feed;
 #[path = "decisions/usage_book.rs"]
 mod usage_book;
 #[path = "decisions/use_limits.rs"]
--- a/tests/decisions/keyed_view.rs
+++ b/tests/decisions/keyed_view.rs
@@ -41,7 +41,7 @@
 fn older_records_never_replace_newer_ones() {
     let mut view = KeyedView::default();
     view.take_page(vec![put("a", 6)], false, 5);
-    let changes = view.take_records(vec![put("a", 5), put("a", 6), put("a", 7)]);
+    let changes = view.take_records(vec![put("a", 5), put("a", 6), put("a", 7)], 8);
     assert_eq!(changes, vec![put("a", 7)]);
     assert_eq!(view.need(), KeyedNeed::Records { from: 8 });
 }
@@ -59,7 +59,7 @@
 fn key_put_while_pages_were_read_is_kept() {
     let mut view = KeyedView::default();
     view.take_page(vec![put("a", 1)], false, 3);
-    view.take_records(vec![put("b", 12)]);
+    view.take_records(vec![put("b", 12)], 13);
     view.start_over();
     // The pages were taken when the topic ended at 10: they cannot have the later record.
     let changes = view.take_page(vec![put("a", 1)], false, 10);
@@ -70,7 +70,7 @@
 fn dropped_key_comes_back_only_with_a_newer_record() {
     let mut view = KeyedView::default();
     view.take_page(vec![put("a", 1)], false, 2);
-    view.take_records(vec![dropped("a", 4)]);
-    assert!(view.take_records(vec![put("a", 3)]).is_empty());
-    assert_eq!(view.take_records(vec![put("a", 5)]), vec![put("a", 5)]);
+    view.take_records(vec![dropped("a", 4)], 5);
+    assert!(view.take_records(vec![put("a", 3)], 5).is_empty());
+    assert_eq!(view.take_records(vec![put("a", 5)], 6), vec![put("a", 5)]);
 }
--- /dev/null
+++ b/tests/decisions/peers.rs
@@ -0,0 +1,79 @@
+//! Which instances of a data centre read the log, and which ask them.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ebonyspread::InstanceName;
+use ebonyspread::peers::Peers;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn name(index: u16) -> InstanceName {
+    format!("entry-{index}").into()
+}
+
+fn address(index: u16) -> SocketAddr {
+    ([127, 0, 0, 1], 9_000 + index).into()
+}
+
+/// Peers that an instance knows in a data centre of so many instances.
+fn peers_of(own: u16, count: u16) -> Peers {
+    let mut peers = Peers::default();
+    for index in (0..count).filter(|index| *index != own) {
+        peers.hear(NOW, &name(index), address(index), &"dc-a".into(), NOW);
+    }
+    peers
+}
+
+fn readers_of(own: u16, count: u16, now: Duration) -> Vec<SocketAddr> {
+    let peers = peers_of(own, count);
+    peers.readers(now, &name(own), &"dc-a".into()).to_vec()
+}
+
+#[yare::parameterized(
+    one = { 1 },
+    three = { 3 },
+    four = { 4 },
+)]
+fn instances_of_a_small_data_centre_read_the_log_themselves(count: u16) {
+    for own in 0..count {
+        assert!(readers_of(own, count, NOW).is_empty());
+    }
+}
+
+#[yare::parameterized(
+    five = { 5 },
+    thirty = { 30 },
+)]
+fn instances_of_a_large_data_centre_agree_on_two_that_read_it(count: u16) {
+    let mut direct = BTreeSet::new();
+    let mut asked = BTreeSet::new();
+    for own in 0..count {
+        let readers = readers_of(own, count, NOW);
+        if readers.is_empty() {
+            direct.insert(address(own));
+        }
+        asked.extend(readers);
+    }
+    assert_eq!(direct.len(), 2);
+    assert_eq!(direct, asked);
+}
+
+#[test]
+fn instance_that_hears_nobody_reads_the_log_itself() {
+    for own in 0..30 {
+        let later = NOW + Duration::from_secs(20);
+        assert!(readers_of(own, 30, later).is_empty());
+    }
+}
+
+#[test]
+fn readers_of_another_data_centre_are_not_asked() {
+    let mut peers = peers_of(0, 3);
+    for index in 10..40 {
+        peers.hear(NOW, &name(index), address(index), &"dc-b".into(), NOW);
+    }
+    let readers = peers.readers(NOW, &name(0), &"dc-a".into());
+    assert!(readers.is_empty());
+}
