Copy shared parts of prompts from the server that holds them; doubt homes that are not settled

Cause: a prompt's home was believed to hold its shared parts at once.

Ruled out: the engines' memory (the shared parts of all subjects fill a quarter of it).

Load pattern: homes that move at once while a data centre is reclaimed; one hot part.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -89,6 +89,8 @@
     connect_failures: u32,
     /// When the answer is of no use any more.
     pub(crate) ends_at: TokioInstant,
+    /// What is known of the service's engines.
+    engine: Option<EnginePolicy>,
     /// True once an attempt may have run.
     pub(crate) may_have_run: bool,
     /// Rank of the call; 0 is the most urgent.
@@ -172,12 +174,14 @@
         .unwrap_or(route.priority);
     let account = account.map(|account| account.name.clone());
     let service = pick_service(serving, &route, account.as_ref(), &call)?;
+    let engine = policy.service(&service).and_then(|service| service.engine);
     Ok(Exchange {
         account,
         body,
         call,
         connect_failures: 0,
         ends_at: received_at + time_left,
+        engine,
         may_have_run: false,
         priority,
         received_at,
@@ -334,6 +338,7 @@
             &self.call,
             AttemptHead {
                 account: self.account.as_ref(),
+                copy_from: attempt.placed.copy_from,
                 last_event_id,
                 priority: self.priority,
                 server: &attempt.placed.server,
@@ -395,6 +400,7 @@
     fn place(&mut self) -> Result<Placed> {
         let now = boot_time();
         let ask = PlaceAsk {
+            engine: self.engine,
             prompt: self.call.prompt.as_ref(),
             service: &self.service,
             suspect: false,
@@ -413,12 +419,13 @@
         }
         info!(
             "place request={} route={} account={account} server={} wait_ms={} cached_tokens={} \
-             attempt={}",
+             copy_from={:?} attempt={}",
             self.call.request_id,
             self.route.name,
             placed.server,
             placed.wait.as_millis(),
             placed.cached_tokens,
+            placed.copy_from,
             self.tried.len() + 1,
         );
         Ok(placed)
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -32,6 +32,10 @@
 /// batch.
 const RUNNING_COST_MS: f64 = 1.0;
 
+/// Time after which a server is believed to hold the prompts whose home it is: most prompts come
+/// again within it.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// Time that a plain call at the server adds to the next one's wait.
 const PLAIN_CALL_COST_MS: f64 = 20.0;
 
@@ -75,11 +79,13 @@
     elsewhere: SmallVec<[(InstanceName, Duration, ServerLoad); 8]>,
     /// Calls of this instance that it runs.
     pub running_here: u32,
+    /// When this instance learned of it.
+    seen_at: Duration,
     suspects_here: u32,
 }
 
 impl FleetServer {
-    fn new(record: ServerRecord) -> Self {
+    fn new(now: Duration, record: ServerRecord) -> Self {
         Self {
             down_until: Duration::ZERO,
             failures_in_a_row: 0,
@@ -88,6 +94,7 @@
             record,
             elsewhere: SmallVec::new(),
             running_here: 0,
+            seen_at: now,
             suspects_here: 0,
         }
     }
@@ -117,13 +124,15 @@
         sum
     }
 
-    /// Leading parts of a prompt that it is believed to hold. At their home, the shared parts are:
-    /// other instances send them there too.
-    fn cached_parts(&self, prompt: &Prompt, prefixes: &PrefixHashes, at_home: bool) -> usize {
-        match at_home {
-            true => prompt.shared_count(),
-            false => self.prefixes.cached_blocks(prefixes),
-        }
+    fn reading_need(
+        &self,
+        prompt: &Prompt,
+        prefixes: &PrefixHashes,
+        homes: &Homes,
+        engine: Option<EnginePolicy>,
+    ) -> ReadingNeed {
+        let cached_parts = self.prefixes.cached_blocks(prefixes);
+        reading_need(&self.record, cached_parts, prompt, homes, engine)
     }
 
     /// This instance's calls there, to tell peers.
@@ -164,6 +173,8 @@
 /// What placement has to know of a call.
 #[derive(Debug, Clone, Copy)]
 pub struct PlaceAsk<'a> {
+    /// What is known of the service's engines.
+    pub engine: Option<EnginePolicy>,
     /// Prompt, for model calls.
     pub prompt: Option<&'a Prompt>,
     /// Service that the call goes to.
@@ -181,8 +192,10 @@
     pub address: SocketAddr,
     /// Time for which earlier prompts were believed to keep the server busy.
     pub backlog: Duration,
-    /// Prompt tokens believed to be in the server's cache.
+    /// Prompt tokens believed to be in the server's cache, or copied there.
     pub cached_tokens: u32,
+    /// Server that it is to copy cached parts of the prompt from.
+    pub copy_from: Option<SocketAddr>,
     /// Data centre of the server.
     pub data_centre: DataCentreName,
     /// True if the server is the one that all instances agree on for the prompt's shared parts, and
@@ -229,17 +242,17 @@
     }
 
     /// Takes a server's report. Returns true if it changed what is believed of the server.
-    pub fn report(&mut self, record: ServerRecord) -> bool {
+    pub fn report(&mut self, now: Duration, record: ServerRecord) -> bool {
         let Some(known) = self.servers.get_mut(&record.id) else {
             let id = record.id.clone();
-            self.servers.insert(id, FleetServer::new(record));
+            self.servers.insert(id, FleetServer::new(now, record));
             return true;
         };
         if record.born_ms < known.record.born_ms {
             return false;
         }
         if record.born_ms > known.record.born_ms || record.address != known.record.address {
-            *known = FleetServer::new(record);
+            *known = FleetServer::new(now, record);
             return true;
         }
         if known.record.leaving && !record.leaving && !is_off(Safeguard::Leaving) {
@@ -411,14 +424,13 @@
             .servers
             .values()
             .any(|server| self.is_candidate(server, now, &ask, true));
-        let home = self.home(now, &ask, &prefixes, strict);
+        let homes = self.homes(now, &ask, &prefixes, strict);
         let mut best: Option<(f64, ServerName)> = None;
         for server in self.servers.values() {
             if !self.is_candidate(server, now, &ask, strict) {
                 continue;
             }
-            let at_home = home.as_ref() == Some(&server.record.id);
-            let cost = self.cost_ms(now, server, &ask, &prefixes, at_home);
+            let cost = self.cost_ms(now, server, &ask, &prefixes, &homes);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, server.record.id.clone()));
             }
@@ -427,8 +439,7 @@
             self.count_unplaced(now, &ask);
             return Err(self.none_ready(&ask));
         };
-        let at_home = home.as_ref() == Some(&id);
-        Ok(self.commit(now, &id, &ask, &prefixes, at_home, cost_ms))
+        Ok(self.commit(now, &id, &ask, &prefixes, &homes, cost_ms))
     }
 
     /// Ends an attempt counted by [`place`](Self::place).
@@ -482,7 +493,7 @@
         id: &ServerName,
         ask: &PlaceAsk<'_>,
         prefixes: &PrefixHashes,
-        at_home: bool,
+        homes: &Homes,
         cost_ms: f64,
     ) -> Placed {
         let tokens_per_ms = self.tokens_per_ms(ask.service);
@@ -492,54 +503,75 @@
         if ask.suspect {
             server.suspects_here += 1;
         }
-        let mut cached_tokens = 0;
-        let mut is_warm_home = false;
-        if let Some(prompt) = ask.prompt {
-            let cached_here = server.prefixes.cached_blocks(prefixes);
-            is_warm_home = at_home && cached_here >= prompt.shared_count();
-            let cached_parts = server.cached_parts(prompt, prefixes, at_home);
-            cached_tokens = prompt.tokens_in(cached_parts);
-            let uncached = f64::from(prompt.tokens - cached_tokens.min(prompt.tokens));
-            let work_ms = uncached / tokens_per_ms;
-            let rate = self.prefill_rates.entry(ask.service.clone()).or_default();
-            rate.add(now, uncached);
-            server.prefill_until =
-                server.prefill_until.max(now) + Duration::from_secs_f64(work_ms / 1_000.0);
-            server.prefixes.record(now, prefixes);
-        }
-        Placed {
+        let mut placed = Placed {
             address: server.record.address,
             backlog,
-            cached_tokens,
+            cached_tokens: 0,
+            copy_from: None,
             data_centre: server.record.data_centre.clone(),
-            is_warm_home,
+            is_warm_home: false,
             server: id.clone(),
             wait: Duration::from_secs_f64(cost_ms / 1_000.0),
+        };
+        let Some(prompt) = ask.prompt else {
+            return placed;
+        };
+        let need = server.reading_need(prompt, prefixes, homes, ask.engine);
+        let cached_here = server.prefixes.cached_blocks(prefixes);
+        placed.is_warm_home = homes.is_home(id) && cached_here >= prompt.shared_count();
+        placed.cached_tokens = prompt.tokens.saturating_sub(need.read_tokens as u32);
+        if need.copied_tokens > 0.0 {
+            placed.copy_from = homes.holder.as_ref().map(|holder| holder.address);
         }
+        let rate = self.prefill_rates.entry(ask.service.clone()).or_default();
+        rate.add(now, need.read_tokens);
+        let work = Duration::from_secs_f64(need.read_tokens / tokens_per_ms / 1_000.0);
+        server.prefill_until = server.prefill_until.max(now) + work;
+        server.prefixes.record(now, prefixes);
+        placed
     }
 
-    /// The server that all instances agree on for a prompt's shared parts, without messages:
-    /// the highest hash of server and parts among those that are ready.
-    fn home(
+    /// Where the shared parts of a prompt belong and where they are, by the highest hash of server
+    /// and parts: all instances agree on both without messages.
+    fn homes(
         &self,
         now: Duration,
         ask: &PlaceAsk<'_>,
         prefixes: &PrefixHashes,
         strict: bool,
-    ) -> Option<ServerName> {
-        let prompt = ask.prompt?;
-        let shared = prefixes.get(prompt.shared_count().checked_sub(1)?)?;
-        let mut best: Option<(u64, &ServerName)> = None;
+    ) -> Homes {
+        let mut homes = Homes::default();
+        let shared_count = ask.prompt.map_or(0, Prompt::shared_count);
+        let Some(shared) = shared_count
+            .checked_sub(1)
+            .and_then(|last| prefixes.get(last))
+        else {
+            return homes;
+        };
+        let mut home_score = 0;
+        let mut holder_score = 0;
         for server in self.servers.values() {
-            if !self.is_candidate(server, now, ask, strict) {
+            let record = &server.record;
+            if record.service != *ask.service {
                 continue;
             }
-            let score = xxh3_64_with_seed(server.record.id.as_bytes(), *shared);
-            if best.is_none_or(|(most, _)| score > most) {
-                best = Some((score, &server.record.id));
+            let score = xxh3_64_with_seed(record.id.as_bytes(), *shared);
+            if score >= home_score && self.is_candidate(server, now, ask, strict) {
+                home_score = score;
+                homes.home = Some(record.id.clone());
+            }
+            // One that leaves can still be copied from.
+            let is_settled = now.saturating_sub(server.seen_at) >= SETTLE_TIME;
+            if score >= holder_score && is_settled && self.is_well(server, now) {
+                holder_score = score;
+                homes.holder = Some(Holder {
+                    address: record.address,
+                    data_centre: record.data_centre.clone(),
+                    id: record.id.clone(),
+                });
             }
         }
-        best.map(|(_, id)| id.clone())
+        homes
     }
 
     fn cost_ms(
@@ -548,7 +580,7 @@
         server: &FleetServer,
         ask: &PlaceAsk<'_>,
         prefixes: &PrefixHashes,
-        at_home: bool,
+        homes: &Homes,
     ) -> f64 {
         let mut cost = f64::from(server.failures_in_a_row) * BROKEN_COST_MS;
         if server.record.data_centre != self.data_centre {
@@ -558,10 +590,10 @@
             let load = f64::from(server.running()) / f64::from(server.record.slots.max(1));
             return cost + load * PLAIN_CALL_COST_MS;
         };
-        let cached_parts = server.cached_parts(prompt, prefixes, at_home);
-        let uncached = prompt.tokens - prompt.tokens_in(cached_parts).min(prompt.tokens);
+        let need = server.reading_need(prompt, prefixes, homes, ask.engine);
         let backlog = server.backlog(now);
-        cost += f64::from(uncached) / self.tokens_per_ms(ask.service);
+        cost += need.read_tokens / self.tokens_per_ms(ask.service);
+        cost += need.copy_ms;
         cost += backlog.as_secs_f64() * 1_000.0;
         cost += f64::from(server.running()) * RUNNING_COST_MS;
         if server.running() >= server.record.slots {
@@ -586,11 +618,15 @@
         strict: bool,
     ) -> bool {
         let stays = !server.record.leaving || is_off(Safeguard::Leaving);
-        let well = now >= server.down_until && !self.is_cut_off(&server.record.data_centre);
         server.record.service == *ask.service
             && stays
-            && (well || !strict)
+            && (!strict || self.is_well(server, now))
             && !ask.tried.contains(&server.record.id)
             && !(ask.suspect && server.suspects_here > 0)
     }
+
+    /// True if a server is believed to be well and within reach.
+    fn is_well(&self, server: &FleetServer, now: Duration) -> bool {
+        now >= server.down_until && !self.is_cut_off(&server.record.data_centre)
+    }
 }
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -294,7 +294,7 @@
     match decode(id, value) {
         Ok(server) => {
             let leaving = server.leaving;
-            let changed = fleet.report(server);
+            let changed = fleet.report(boot_time(), server);
             if changed {
                 info!("server id={id} offset={} leaving={leaving}", record.offset);
             }
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -10,12 +10,18 @@
 use ebonyspread::fleet::PlaceAsk;
 use ebonyspread::fleet::Placed;
 use ebonyspread::fleet::ServerRecord;
+use ebonyspread::policy::EnginePolicy;
 use ebonyspread::policy::ServicePolicy;
 use ebonyspread::prompt::Prompt;
 use ebonyspread::prompt::PromptPart;
 
 const NOW: Duration = Duration::from_secs(100);
 
+const ENGINE: EnginePolicy = EnginePolicy {
+    copy_ms_per_token: Some(0.012),
+    slots: 96,
+};
+
 fn record(index: u16) -> ServerRecord {
     ServerRecord {
         address: ([127, 0, 0, 1], 9_000 + index).into(),
@@ -32,7 +38,7 @@
 fn fleet(data_centre: &str, count: u16) -> Fleet {
     let mut fleet = Fleet::new(data_centre.into());
     for index in 0..count {
-        fleet.report(record(index));
+        fleet.report(Duration::ZERO, record(index));
     }
     fleet
 }
@@ -53,6 +59,7 @@
 fn place(fleet: &mut Fleet, now: Duration, prompt: &Prompt, tried: &[ServerName]) -> Placed {
     let service = ServiceName::from("models");
     let ask = PlaceAsk {
+        engine: Some(ENGINE),
         prompt: Some(prompt),
         service: &service,
         suspect: false,
@@ -91,8 +98,8 @@
     let mut fleet = fleet("dc-0", 2);
     let mut leaving = record(0);
     leaving.leaving = true;
-    assert!(fleet.report(leaving));
-    assert!(!fleet.report(record(0)));
+    assert!(fleet.report(NOW, leaving));
+    assert!(!fleet.report(NOW, record(0)));
     for own in 0..20 {
         let placed = place(&mut fleet, NOW, &prompt(own, own), &[]);
         assert_eq!(placed.server, "server-1");
@@ -105,10 +112,13 @@
     place(&mut fleet, NOW, &prompt(1, 1), &[]);
     let mut reborn = record(0);
     reborn.born_ms = 2;
-    assert!(fleet.report(reborn));
+    assert!(fleet.report(NOW, reborn));
     let server = fleet.servers().next().unwrap();
     assert_eq!(server.running(), 0);
-    assert!(!fleet.report(record(0)), "an entry of the earlier life");
+    assert!(
+        !fleet.report(NOW, record(0)),
+        "an entry of the earlier life"
+    );
 }
 
 #[test]
@@ -203,3 +213,74 @@
     let rate_per_s = fleet.capacity_view(NOW, &policy).prefill_rate_per_s;
     assert!(rate_per_s >= 30_000.0, "{rate_per_s}");
 }
+
+/// Name of the server that a prompt with these shared parts goes to in an idle fleet.
+fn home_of(fleet: &mut Fleet, shared: u64) -> ServerName {
+    let placed = place(fleet, NOW, &prompt(shared, 1), &[]);
+    fleet.end_attempt(NOW, &placed.server, false, AttemptEnd::Whole);
+    placed.server
+}
+
+// Replacements join while the others still stand: prompts that overflow to them are held elsewhere.
+#[test]
+fn new_servers_copy_shared_parts_from_the_former_home() {
+    let mut copies = 0;
+    for shared in 0..40 {
+        let mut fleet = fleet("dc-0", 6);
+        let former = home_of(&mut fleet, shared);
+        let holder = fleet.servers().find(|server| server.record.id == former);
+        let address = holder.map(|server| server.record.address);
+        for index in 6..12 {
+            fleet.report(NOW, record(index));
+        }
+        for own in 0..40 {
+            let placed = place(&mut fleet, NOW, &prompt(shared, own), &[]);
+            assert!(placed.copy_from.is_none() || placed.copy_from == address);
+            copies += u32::from(placed.copy_from.is_some());
+        }
+    }
+    assert!(copies >= 40 * 6, "{copies}");
+}
+
+// A reclaim announces itself seconds before: until then the leaving servers can be copied from.
+#[test]
+fn shared_parts_are_copied_from_servers_that_leave() {
+    let mut fleet = fleet("dc-0", 2);
+    let home = home_of(&mut fleet, 7);
+    let index = u16::from(home == "server-1");
+    let mut leaving = record(index);
+    leaving.leaving = true;
+    let address = leaving.address;
+    fleet.report(NOW, leaving);
+    let placed = place(&mut fleet, NOW, &prompt(7, 2), &[]);
+    assert_ne!(placed.server, home);
+    assert_eq!(placed.copy_from, Some(address));
+}
+
+// One shared part gets much of the traffic: its home overflows to servers that lack it.
+#[test]
+fn overflow_of_a_hot_home_copies_from_it() {
+    let mut fleet = fleet("dc-0", 3);
+    let home = home_of(&mut fleet, 7);
+    let mut copies = 0;
+    for own in 0..60 {
+        let placed = place(&mut fleet, NOW, &prompt(7, 1_000 + own), &[]);
+        if placed.server == home {
+            assert_eq!(placed.copy_from, None);
+        }
+        copies += u32::from(placed.copy_from.is_some());
+    }
+    assert_eq!(copies, 2, "once to each other server");
+}
+
+#[test]
+fn engines_that_start_together_have_nothing_to_copy() {
+    let mut fleet = Fleet::new("dc-0".into());
+    for index in 0..6 {
+        fleet.report(NOW, record(index));
+    }
+    for shared in 0..40 {
+        let placed = place(&mut fleet, NOW, &prompt(shared, 1), &[]);
+        assert_eq!(placed.copy_from, None);
+    }
+}
