Leave calls where they wait unless a retry is paid and their server is silent

Ruled out: the servers (they answered the calls that were left there); the retry budget alone (a moved call loses its place in the queue, and its prompt is read again).

Change: patience.rs decides when an answer does not begin: a call moves only if a retry is paid, later where it was expected to wait, and later where the server answers other calls. A silent stream without a retry goes on waiting too. A server that answers others is not counted as broken.

Before: the two cases of the new test of the deployed program fail (502 after the target latency). After: 26 tests of the deployed program and 67 decision tests pass.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -26,13 +26,6 @@
 /// Time kept for the answer's way back to the caller.
 const WAY_BACK: Duration = Duration::from_millis(10);
 
-/// Time that a repeatable call waits for its answer to begin, in target latencies, before it is
-/// sent to another server.
-const HEAD_PATIENCE_TARGETS: f64 = 1.0;
-
-/// Least patience; shorter would take a busy server for a silent one.
-const HEAD_PATIENCE_MIN: Duration = Duration::from_millis(400);
-
 /// Time for the body of a refusal: it is short and comes with its head.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -126,6 +119,8 @@
     NotRun(String),
     /// The attempt may have run, and its answer is lost.
     Lost(String),
+    /// The attempt was given up; another one is paid.
+    Moved,
     /// The caller's time is over.
     TimedOut,
     /// The head of an event stream.
@@ -134,6 +129,20 @@
     Whole(Attempt, Box<ResponseHead>, Bytes),
 }
 
+/// What came of sending an attempt.
+enum Sent {
+    /// The head of an answer.
+    Answered(Box<LinkAnswer>),
+    /// The server's data centre was cut off meanwhile.
+    CutOff,
+    /// The connection failed.
+    Failed(LinkError),
+    /// The answer did not begin in time, and another attempt is paid.
+    GivenUp,
+    /// The caller's time is over.
+    TimedOut,
+}
+
 async fn accept(
     serving: &Rc<Serving>,
     mut request: Request,
@@ -314,6 +323,10 @@
                         return Err(self.lost(reason));
                     }
                 }
+                Attempted::Moved => {
+                    self.log_failed("moved", "no answer in time");
+                    self.may_have_run = true;
+                }
                 Attempted::TimedOut => {
                     self.log_failed("timed-out", "");
                     return Err(self.timed_out());
@@ -333,8 +346,35 @@
             serving: self.serving.clone(),
         };
         self.tried.push(attempt.placed.server.clone());
-        let time_left = self.ends_at - TokioInstant::now();
-        let head = self.serving.dialect.write_call(
+        let sent_at = TokioInstant::now();
+        let answer = match self.send(&mut attempt, last_event_id).await {
+            Sent::Answered(answer) => *answer,
+            Sent::CutOff => {
+                self.sends += 1;
+                return Ok(Attempted::Lost("data centre was cut off".to_owned()));
+            }
+            Sent::Failed(error) => return Ok(self.failed(&mut attempt, error)),
+            Sent::GivenUp => {
+                self.sends += 1;
+                return Ok(Attempted::Moved);
+            }
+            Sent::TimedOut => {
+                self.sends += 1;
+                self.may_have_run = true;
+                return Ok(Attempted::TimedOut);
+            }
+        };
+        self.sends += 1;
+        self.observe(&attempt, sent_at.elapsed());
+        self.take_answer(attempt, answer).await
+    }
+
+    /// Sends an attempt and waits for the head of its answer, as long as its patience lasts.
+    async fn send(&self, attempt: &mut Attempt, last_event_id: Option<&str>) -> Sent {
+        let sent_at = TokioInstant::now();
+        let time_left = self.ends_at - sent_at;
+        let dialect = &self.serving.dialect;
+        let head = dialect.write_call(
             &self.call,
             AttemptHead {
                 account: self.account.as_ref(),
@@ -345,9 +385,8 @@
                 time_left: time_left.saturating_sub(WAY_BACK),
             },
         );
-        let dialect = &self.serving.dialect;
         let owner_of = |head: &ResponseHead| dialect.owner_of(&self.call, head);
-        let sending = self.serving.links.send(LinkCall {
+        let mut sending = std::pin::pin!(self.serving.links.send(LinkCall {
             body: &self.body,
             head,
             owner_of: &owner_of,
@@ -355,45 +394,46 @@
                 address: attempt.placed.address,
                 server: attempt.placed.server.clone(),
             },
-        });
-        let sent_at = TokioInstant::now();
-        let patience = self.patience();
-        let can_move = patience < self.ends_at;
-        let centre = attempt.placed.data_centre.clone();
-        let sent = tokio::select! {
-            biased;
-            sent = timeout_at(patience, sending) => sent,
-            () = wait_for_cut(&self.serving, &centre), if can_move => {
-                attempt.end = AttemptEnd::Broken;
-                self.sends += 1;
-                return Ok(Attempted::Lost("data centre was cut off".to_owned()));
-            }
+        }));
+        let patience = self.patience(&attempt.placed);
+        let mut until = match patience {
+            Some(patience) => (sent_at + patience.first()).min(self.ends_at),
+            None => self.ends_at,
         };
-        let answer = match sent {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => return Ok(self.failed(&mut attempt, error)),
-            Err(_) if patience < self.ends_at => {
-                attempt.end = AttemptEnd::Broken;
-                self.sends += 1;
-                return Ok(Attempted::Lost("no answer in time".to_owned()));
-            }
-            Err(_) => {
-                self.sends += 1;
-                self.may_have_run = true;
-                return Ok(Attempted::TimedOut);
+        let centre = attempt.placed.data_centre.clone();
+        loop {
+            let sent = tokio::select! {
+                biased;
+                sent = timeout_at(until, &mut sending) => sent,
+                () = wait_for_cut(&self.serving, &centre), if patience.is_some() => {
+                    attempt.end = AttemptEnd::Broken;
+                    return Sent::CutOff;
+                }
+            };
+            match (sent, patience) {
+                (Ok(Ok(answer)), _) => return Sent::Answered(Box::new(answer)),
+                (Ok(Err(error)), _) => return Sent::Failed(error),
+                (Err(_), Some(patience)) if until < self.ends_at => {
+                    match self.end_patience(patience, attempt, sent_at) {
+                        PatienceEnd::Move => return Sent::GivenUp,
+                        PatienceEnd::WaitToEnd => until = self.ends_at,
+                        PatienceEnd::WaitUntil(waited) => {
+                            until = (sent_at + waited).min(self.ends_at);
+                        }
+                    }
+                }
+                (Err(_), _) => return Sent::TimedOut,
             }
-        };
-        self.sends += 1;
-        self.observe(&attempt, sent_at.elapsed());
-        self.take_answer(attempt, answer).await
+        }
     }
 
-    /// Lets the fleet learn from the time to the head of a model call's answer.
+    /// Lets the fleet learn from the time to the head of a call's answer.
     fn observe(&self, attempt: &Attempt, elapsed: Duration) {
+        let mut fleet = self.serving.fleet.borrow_mut();
+        fleet.note_answer(boot_time(), &attempt.placed.server);
         let Some(prompt) = &self.call.prompt else {
             return;
         };
-        let mut fleet = self.serving.fleet.borrow_mut();
         fleet.observe_first_event(&self.service, prompt, &attempt.placed, elapsed);
     }
 
@@ -431,15 +471,33 @@
         Ok(placed)
     }
 
-    /// Time up to which the answer's head is waited for.
-    fn patience(&self) -> TokioInstant {
+    /// Patience with an attempt, if its call may be sent to another server.
+    fn patience(&self, placed: &Placed) -> Option<Patience> {
         let is_last = self.sends + 1 >= self.route.attempts_max;
         if is_last || !self.route.call_kind.is_repeatable() {
-            return self.ends_at;
+            return None;
         }
-        let patience = self.route.target_latency.mul_f64(HEAD_PATIENCE_TARGETS);
-        let until = TokioInstant::now() + patience.max(HEAD_PATIENCE_MIN);
-        until.min(self.ends_at)
+        Some(Patience::new(self.route.target_latency, placed.wait))
+    }
+
+    /// Decides on an attempt whose answer has not begun in time.
+    fn end_patience(
+        &self,
+        patience: Patience,
+        attempt: &mut Attempt,
+        sent_at: TokioInstant,
+    ) -> PatienceEnd {
+        let waited = sent_at.elapsed();
+        let since = boot_time().saturating_sub(waited);
+        let server_answers = {
+            let fleet = self.serving.fleet.borrow();
+            fleet.has_answered_since(since, &attempt.placed.server)
+        };
+        let end = patience.end(waited, server_answers, || self.pay_retry());
+        if end == PatienceEnd::Move && !server_answers {
+            attempt.end = AttemptEnd::Broken;
+        }
+        end
     }
 
     fn failed(&mut self, attempt: &mut Attempt, error: LinkError) -> Attempted {
@@ -522,9 +580,11 @@
 
     /// True if the call may be sent to one more server, paid from the retry budget.
     pub(crate) fn may_send_again(&self) -> bool {
-        if self.sends >= self.route.attempts_max {
-            return false;
-        }
+        self.sends < self.route.attempts_max && self.pay_retry()
+    }
+
+    /// Takes a retry from the budget; false if there is none.
+    fn pay_retry(&self) -> bool {
         let account = self.account.clone().unwrap_or_default();
         let mut budget = self.serving.budget.borrow_mut();
         let paid = budget.withdraw(&account, &self.service);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -69,6 +69,8 @@
 /// A registered server with what is believed of it.
 #[derive(Debug)]
 pub struct FleetServer {
+    /// When it last answered a call of this instance.
+    answered_at: Duration,
     down_until: Duration,
     failures_in_a_row: u32,
     prefill_until: Duration,
@@ -87,6 +89,7 @@
 impl FleetServer {
     fn new(now: Duration, record: ServerRecord) -> Self {
         Self {
+            answered_at: Duration::ZERO,
             down_until: Duration::ZERO,
             failures_in_a_row: 0,
             prefill_until: Duration::ZERO,
@@ -442,6 +445,19 @@
         Ok(self.commit(now, &id, &ask, &prefixes, &homes, cost_ms))
     }
 
+    /// Records that a server began to answer a call.
+    pub fn note_answer(&mut self, now: Duration, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.answered_at = now;
+        }
+    }
+
+    /// True if a server answered any call of this instance since a time.
+    pub fn has_answered_since(&self, since: Duration, id: &str) -> bool {
+        let server = self.servers.get(id);
+        server.is_some_and(|server| server.answered_at > since)
+    }
+
     /// Ends an attempt counted by [`place`](Self::place).
     pub fn end_attempt(&mut self, now: Duration, id: &str, suspect: bool, end: AttemptEnd) {
         let Some(server) = self.servers.get_mut(id) else {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -23,6 +23,8 @@
     events: SseParser,
     exchange: Exchange,
     last_event_id: Option<SmolStr>,
+    /// True once a silent stream could not be moved for want of a retry.
+    waits_to_end: bool,
 }
 
 impl Relay {
@@ -41,6 +43,7 @@
             events: SseParser::default(),
             exchange,
             last_event_id: None,
+            waits_to_end: false,
         };
         Box::pin(futures_util::stream::unfold(relay, Self::next))
     }
@@ -73,7 +76,12 @@
                     Err(error) => return Some(self.end_broken(error).await),
                 },
                 Err(_) if ends_at < self.exchange.ends_at => {
-                    match self.go_on("stream fell silent".to_owned()).await {
+                    // Without a retry to pay, a slow stream is better than none.
+                    if !self.exchange.may_send_again() {
+                        self.waits_to_end = true;
+                        continue;
+                    }
+                    match self.go_on_paid("stream fell silent".to_owned()).await {
                         Ok(()) => continue,
                         Err(error) => return Some(self.end_broken(error).await),
                     }
@@ -115,15 +123,24 @@
         let exchange = &self.exchange;
         let can_resume = exchange.route.call_kind == CallKind::Stream { resumable: true }
             && exchange.sends < exchange.route.attempts_max;
-        if !can_resume {
+        if !can_resume || self.waits_to_end {
             return exchange.ends_at;
         }
         let gap = exchange.route.gap_target.mul_f64(GAP_PATIENCE_TARGETS);
         (TokioInstant::now() + gap).min(exchange.ends_at)
     }
 
-    /// Goes on at another server after the last event that was passed on.
+    /// Goes on at another server, if the stream may be resumed and a retry can be paid.
     async fn go_on(&mut self, reason: String) -> Result {
+        let resumable = self.exchange.route.call_kind.is_repeatable();
+        if !resumable || !self.exchange.may_send_again() {
+            self.leave_server(&reason);
+            return Err(self.exchange.lost(reason));
+        }
+        self.go_on_paid(reason).await
+    }
+
+    fn leave_server(&mut self, reason: &str) {
         if let Some(attempt) = &mut self.attempt {
             attempt.end = AttemptEnd::Broken;
         }
@@ -132,11 +149,12 @@
         self.body.close();
         self.events.clear();
         self.exchange.may_have_run = true;
-        self.exchange.log_failed("broken-stream", &reason);
-        let resumable = self.exchange.route.call_kind.is_repeatable();
-        if !resumable || !self.exchange.may_send_again() {
-            return Err(self.exchange.lost(reason));
-        }
+        self.exchange.log_failed("broken-stream", reason);
+    }
+
+    /// Goes on at another server after the last event that was passed on.
+    async fn go_on_paid(&mut self, reason: String) -> Result {
+        self.leave_server(&reason);
         let last_event_id = self.last_event_id.clone();
         match self.exchange.carry(last_event_id.as_deref()).await? {
             Carried::Stream(attempt, answer) => {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -10,6 +10,8 @@
 mod keyed_view;
 #[path = "decisions/lease.rs"]
 mod lease;
+#[path = "decisions/patience.rs"]
+mod patience;
 #[path = "decisions/peers.rs"]
 mod peers;
 #[path = "decisions/policy_book.rs"]
