Stand ready for the next reclaim while reclaimable servers are refused

Others were started for half of the largest centre only, so that each further reclaim left too few for the four seconds of a start.

Ruled out: a larger estimate of the need (it was right once calls no longer waited for want of engines).

Change: while an order for reclaimable servers was refused in the last 6 s, others stand ready for the whole of the largest centre's.

The replay of three reclaims in a row fails with the old part.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -18,6 +18,13 @@
 /// notice is most of a server's start, and others cost several times as much.
 const BRIDGED_PART: f64 = 0.5;
 
+/// Part of them while reclaimable ones are refused: a reclaim comes seldom alone then, and what it
+/// takes cannot be had again.
+const BRIDGED_PART_DRY: f64 = 1.0;
+
+/// Time after a refused order for reclaimable servers for which more are expected to be refused.
+const DRY_TIME: Duration = Duration::from_secs(6);
+
 /// Servers are given up only after the demand has allowed it for this long.
 const SHRINK_AFTER: Duration = Duration::from_secs(12);
 
@@ -113,7 +120,7 @@
         }
         let need = self.steady_need(now, policy, view);
         self.add_spot_targets(now, policy, view, need, &mut targets);
-        add_other_targets(policy, view, need, &mut targets);
+        add_other_targets(policy, view, need, self.bridged_part(now), &mut targets);
         let mut orders = SmallVec::new();
         for (key, target) in targets {
             if !self.wants_order(now, &key, target, view) {
@@ -191,6 +198,18 @@
         }
     }
 
+    /// Part of the largest data centre's reclaimable servers to have others for.
+    fn bridged_part(&self, now: Duration) -> f64 {
+        let is_dry = self.kinds.values().any(|kind| {
+            let refused_at = kind.refused_at;
+            refused_at.is_some_and(|at| now.saturating_sub(at) < DRY_TIME)
+        });
+        match is_dry {
+            true => BRIDGED_PART_DRY,
+            false => BRIDGED_PART,
+        }
+    }
+
     fn was_refused(&self, now: Duration, key: &(DataCentreName, bool)) -> bool {
         let refused_at = self.kinds.get(key).and_then(|kind| kind.refused_at);
         refused_at.is_some_and(|at| now.saturating_sub(at) < REFUSED_PAUSE)
@@ -254,6 +273,7 @@
     policy: &CapacityPolicy,
     view: &CapacityView,
     need: u32,
+    bridged_part: f64,
     targets: &mut BTreeMap<(DataCentreName, bool), u32>,
 ) {
     let mut centres: Vec<&(DataCentreName, f64)> = policy.centre_prices.iter().collect();
@@ -264,7 +284,7 @@
     };
     let spot_sum: u32 = centres.iter().map(|(centre, _)| ready(centre, true)).sum();
     let spot_most = centres.iter().map(|(centre, _)| ready(centre, true)).max();
-    let at_risk = f64::from(spot_most.unwrap_or(0)) * BRIDGED_PART;
+    let at_risk = f64::from(spot_most.unwrap_or(0)) * bridged_part;
     let mut missing = need.saturating_sub(spot_sum - at_risk.ceil() as u32);
     for (centre, _) in &centres {
         let kept = ready(centre, false).min(missing);
--- a/tests/decisions/capacity.rs
+++ b/tests/decisions/capacity.rs
@@ -216,3 +216,16 @@
         assert!(fewest >= before, "{fewest} of {before} after {part} s");
     }
 }
+
+// A reclaim while no reclaimable server is to be had is followed by those of the other centres.
+#[test]
+fn three_reclaims_in_a_row_leave_what_the_demand_needs() {
+    let mut world = World::new(6);
+    world.run(Duration::from_secs(30), 100_000.0);
+    let mut fewest = u32::MAX;
+    for centre in ["dc-0", "dc-1", "dc-2"] {
+        world.reclaim(centre);
+        fewest = fewest.min(world.run(Duration::from_secs(6), 100_000.0));
+    }
+    assert!(f64::from(fewest) * RATE_PER_S * 0.7 > 100_000.0, "{fewest}");
+}
