Bound saved-up retries by a window, on the terms of the deployment

Cause, found by reading: an instance saved 20 retries in a calm minute. 85 instances could spend 1,700 in one window, where the deployment allows a fifth of its requests (about 1,100) beside a slack; and the ratio was a tenth, though deployments set it.

Ruled out: a count shared by all instances (news is a second old when all fail at once).

Change: RetryTerms; on registered servers a retry costs 1 / (0.7 x ratio) accepted calls, and half a window's calls are saved at most. The product's own edge keeps its terms.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -1,5 +1,6 @@
 //! Budget of retries: a retry is sent only against requests accepted before it, so that the
-//! attempts sent stay within 1.1 times the requests accepted, whatever fails.
+//! attempts sent stay within 1.1 times the requests accepted, whatever fails. Deployments may set
+//! other terms.
 
 use super::*;
 
@@ -13,18 +14,44 @@
 /// lends nothing, and so the bound holds.
 const LOAN: i64 = -REQUESTS_PER_RETRY;
 
+/// Terms of a budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetryTerms {
+    /// Accepted requests that pay for one retry.
+    pub requests_per_retry: i64,
+    /// Most accepted requests that are saved up. Where many instances share a bound over a window,
+    /// their savings of earlier windows would break it when all fail at once.
+    pub saved_max_requests: i64,
+}
+
+impl Default for RetryTerms {
+    fn default() -> Self {
+        Self {
+            requests_per_retry: REQUESTS_PER_RETRY,
+            saved_max_requests: SAVED_MAX,
+        }
+    }
+}
+
 /// Savings of this instance, of each account and of each backend server.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
     accounts: HashMap<AccountName, i64>,
     instance: i64,
     servers: HashMap<ServerName, i64>,
+    terms: RetryTerms,
 }
 
 impl RetryBudget {
+    /// Sets the terms; savings beyond them are lost.
+    pub fn set_terms(&mut self, terms: RetryTerms) {
+        self.terms = terms;
+        self.instance = self.instance.min(terms.saved_max_requests);
+    }
+
     /// Counts an accepted request whose first attempt goes to `server`.
     pub fn deposit(&mut self, account: &AccountName, server: &ServerName) {
-        self.instance = (self.instance + 1).min(SAVED_MAX);
+        self.instance = (self.instance + 1).min(self.terms.saved_max_requests);
         let saved = self.accounts.entry(account.clone()).or_default();
         *saved = (*saved + 1).min(SAVED_MAX);
         let saved = self.servers.entry(server.clone()).or_default();
@@ -38,15 +65,13 @@
         if is_off(Safeguard::RetryBudget) {
             return true;
         }
-        if self.instance < REQUESTS_PER_RETRY
-            || *of_account - REQUESTS_PER_RETRY < LOAN
-            || *of_server - REQUESTS_PER_RETRY < LOAN
-        {
+        let price = self.terms.requests_per_retry;
+        if self.instance < price || *of_account - price < LOAN || *of_server - price < LOAN {
             return false;
         }
-        self.instance -= REQUESTS_PER_RETRY;
-        *of_account -= REQUESTS_PER_RETRY;
-        *of_server -= REQUESTS_PER_RETRY;
+        self.instance -= price;
+        *of_account -= price;
+        *of_server -= price;
         true
     }
 
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -454,8 +454,7 @@
         };
         let account = self.account.clone().unwrap_or_default();
         if self.sends == 0 && self.connect_failures == 0 {
-            let mut budget = self.serving.budget.borrow_mut();
-            budget.deposit(&account, &self.service);
+            self.serving.count_accepted(&account, &self.service);
         }
         info!(
             "place request={} route={} account={account} server={} wait_ms={} cached_tokens={} \
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 use crate::apply::ListEdits;
 use crate::apply::TableActor;
 use crate::budget::RetryBudget;
+use crate::budget::RetryTerms;
 use crate::capacity::Capacity;
 use crate::capacity::CapacityOrder;
 use crate::capacity::CapacityView;
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -24,14 +24,28 @@
     pub limit_window: Duration,
     /// Longest time since the policy was last proved to be the newest.
     pub policy_age_max: Duration,
+    /// Most attempts beyond the first, as a part of the calls of a window.
+    pub retry_part: f64,
+    /// Window of the bound on retries.
+    pub retry_window: Duration,
     /// Time after a usage window's end up to which its report counts.
     pub usage_late: Duration,
     /// Length of a usage window.
     pub usage_window: Duration,
 }
 
+/// Part of the bound on retries that is spent: callers' requests are spread unevenly over
+/// instances and windows.
+const RETRY_SPENT_PART: f64 = 0.7;
+
+/// Part of a window's calls that is saved up for retries: savings and what the next window pays
+/// are spent in one.
+const RETRY_SAVED_PART: f64 = 0.5;
+
 /// Shared state of one instance.
 pub struct Serving {
+    /// Calls a second that were accepted.
+    accepted: RefCell<DecayingRate>,
     /// Policy in force.
     pub book: RefCell<PolicyBook>,
     /// Retry budget.
@@ -85,6 +99,7 @@
             false => boot_time() + settings.limit_window,
         };
         Self {
+            accepted: RefCell::default(),
             book: RefCell::default(),
             budget: RefCell::default(),
             cuts: watch::Sender::new(0),
@@ -108,6 +123,21 @@
         }
     }
 
+    /// Counts an accepted call towards the retry budget.
+    pub fn count_accepted(&self, account: &AccountName, service: &ServiceName) {
+        let now = boot_time();
+        let mut accepted = self.accepted.borrow_mut();
+        accepted.add(now, 1.0);
+        let a_window = accepted.at(now) * self.settings.retry_window.as_secs_f64();
+        let retry_part = (self.settings.retry_part * RETRY_SPENT_PART).clamp(0.01, 1.0);
+        let mut budget = self.budget.borrow_mut();
+        budget.set_terms(RetryTerms {
+            requests_per_retry: (1.0 / retry_part).ceil() as i64,
+            saved_max_requests: (a_window * RETRY_SAVED_PART) as i64,
+        });
+        budget.deposit(account, service);
+    }
+
     /// Takes a change of a topic for peers that read it here.
     pub fn feed_change(&self, topic: &'static str, record: KeyedRecord) {
         self.feeds
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "decisions/budget.rs"]
+mod budget;
 #[path = "decisions/capacity.rs"]
 mod capacity;
 #[path = "decisions/fleet.rs"]
