Notice within the time of an edit that a reader cannot read the log

The others, which the store served, took its knowledge for new until it was 3.6 s old; an edit has to be in force within 3 s.

Ruled out: the policy's own path (instances that read the log had the version at once); a revoked key served (each request was one of an old version by another rule).

Change: a feed whose last read failed says so, and whoever asks reads the log itself. How old an answer may be, and how long reads wait, are parts of the time in which an edit has to be in force (edit_time, of the settings); instances that peers read at wait less, so that healthy answers stay well below the bound.

Before: accepted up to 3.6 s old. After: 1.5 s at a bound of 3 s, one second at two.

--- a/src/feed_service.rs
+++ b/src/feed_service.rs
@@ -28,8 +28,9 @@
         Box::pin(async move {
             match inbound.body {
                 Body::TopicReadRequest(request) => {
-                    let reply = answer_read(&serving, &request).await?;
-                    Some(Body::TopicReadReply(reply))
+                    serving.note_reader();
+                    let reply = answer_read(&serving, &request).await;
+                    Some(Body::TopicReadReply(reply.unwrap_or_else(unknown)))
                 }
                 other => {
                     let frame = wire::Frame {
@@ -57,6 +58,13 @@
     }
 }
 
+fn unknown() -> wire::TopicReadReply {
+    wire::TopicReadReply {
+        unknown: true,
+        ..Default::default()
+    }
+}
+
 /// Waits for a record of interest, up to the time that the request allows. `None` if this instance
 /// does not know the topic.
 async fn answer_read(
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -16,6 +16,8 @@
 pub struct ServingSettings {
     /// Data centre of the instance.
     pub data_centre: DataCentreName,
+    /// Time after its acceptance from which an edit has to be in force.
+    pub edit_time: Duration,
     /// True if no instance ran before: nothing can have been admitted that is not known.
     pub first_start: bool,
     /// Name of the instance, unique.
@@ -34,6 +36,9 @@
     pub usage_window: Duration,
 }
 
+/// Time after a peer's last read here for which more are expected.
+const READERS_TTL: Duration = Duration::from_secs(3);
+
 /// Part of the bound on retries that is spent: callers' requests are spread unevenly over
 /// instances and windows.
 const RETRY_SPENT_PART: f64 = 0.7;
@@ -46,6 +51,8 @@
 pub struct Serving {
     /// Calls a second that were accepted.
     accepted: RefCell<DecayingRate>,
+    /// When a peer last read a topic of the log here.
+    asked_at: Cell<Option<Duration>>,
     /// Policy in force.
     pub book: RefCell<PolicyBook>,
     /// Retry budget.
@@ -100,6 +107,7 @@
         };
         Self {
             accepted: RefCell::default(),
+            asked_at: Cell::default(),
             book: RefCell::default(),
             budget: RefCell::default(),
             cuts: watch::Sender::new(0),
@@ -154,6 +162,23 @@
         feeds.entry(topic).or_default().prove(at, end);
     }
 
+    /// Records that reads of a topic fail.
+    pub fn feed_loss(&self, topic: &'static str) {
+        let mut feeds = self.feeds.borrow_mut();
+        feeds.entry(topic).or_default().lose();
+    }
+
+    /// Records that a peer reads a topic of the log here.
+    pub fn note_reader(&self) {
+        self.asked_at.set(Some(boot_time()));
+    }
+
+    /// True if peers read topics of the log here.
+    pub fn has_readers(&self) -> bool {
+        let asked_at = self.asked_at.get();
+        asked_at.is_some_and(|at| boot_time().saturating_sub(at) < READERS_TTL)
+    }
+
     /// True if this instance reads the log itself rather than at a peer.
     pub fn reads_log(&self) -> bool {
         let settings = &self.settings;
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -215,7 +215,8 @@
             serving.book.borrow_mut().prove(at);
             serving.feed_proof(topic, at, end);
         }
-        Followed::Reachable(_) => {}
+        Followed::Reachable(true) => {}
+        Followed::Reachable(false) => serving.feed_loss(topic),
     };
     actix_rt::spawn(follow.run(tell, shutdown.clone()));
 }
@@ -271,7 +272,8 @@
             }
         }
         Followed::Proof { at, end } => serving.feed_proof(topic, at, end),
-        Followed::Reachable(_) => {}
+        Followed::Reachable(true) => {}
+        Followed::Reachable(false) => serving.feed_loss(topic),
     };
     actix_rt::spawn(follow.run(tell, shutdown.clone()));
 }
--- a/src/shared_log.rs
+++ b/src/shared_log.rs
@@ -12,16 +12,19 @@
 use futures_util::future::LocalBoxFuture;
 use wire::frame::Body;
 
-/// Age of a peer's knowledge from which it counts as cut off from the log: more than two of its
-/// reads, each of which waits for a record.
-const PEER_AGE_MAX: Duration = Duration::from_millis(3_600);
+/// Age of a peer's knowledge from which it counts as cut off from the log, as a part of the time in
+/// which an edit has to be in force: the rest is for noticing it and for a read here.
+const PEER_AGE_PART: f64 = 0.5;
 
-/// Longest wait of a read at a peer: its knowledge may be two of its own reads old, and keys
-/// lapse without a proof.
-const PEER_WAIT_MAX: Duration = Duration::from_millis(700);
+/// Wait of a read of the log for peers, as a part of the same time: what they are told is up to two
+/// reads old.
+const READER_WAIT_PART: f64 = 1.0 / 6.0;
+
+/// Wait of a read at a peer, as a part of the same time.
+const PEER_WAIT_PART: f64 = 1.0 / 8.0;
 
 /// Time for a peer's answer beyond the time that it is asked to wait.
-const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+const PEER_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time for which peers that did not answer are passed over.
 const PEERS_PAUSE: Duration = Duration::from_secs(2);
@@ -83,7 +86,8 @@
         if readers.is_empty() {
             return None;
         }
-        let wait = wait.min(PEER_WAIT_MAX);
+        let edit_time = self.serving.settings.edit_time;
+        let wait = wait.min(edit_time.mul_f64(PEER_WAIT_PART));
         for address in readers {
             let request = Body::TopicReadRequest(wire::TopicReadRequest {
                 from,
@@ -95,11 +99,14 @@
             let Some(Body::TopicReadReply(reply)) = asked.await else {
                 continue;
             };
+            if reply.unknown {
+                continue;
+            }
             if reply.gone {
                 return Some(PeerAnswer::Gone);
             }
             let page = FeedPage::from_reply(reply, sent_at);
-            if boot_time().saturating_sub(page.proven_at) < PEER_AGE_MAX {
+            if boot_time().saturating_sub(page.proven_at) < edit_time.mul_f64(PEER_AGE_PART) {
                 return Some(PeerAnswer::Page(page));
             }
         }
@@ -109,6 +116,15 @@
         None
     }
 
+    /// Wait of a read of the log; short while peers read here.
+    fn own_wait(&self, wait: Duration) -> Duration {
+        let edit_time = self.serving.settings.edit_time;
+        match self.serving.has_readers() {
+            true => wait.min(edit_time.mul_f64(READER_WAIT_PART)),
+            false => wait,
+        }
+    }
+
     /// Notes whether the log answered.
     fn note<T>(&self, read: Result<T>) -> Result<T> {
         if read.is_err() {
@@ -142,7 +158,10 @@
         let page = match self.ask_peers(topic, Some(from), wait).await {
             Some(PeerAnswer::Page(page)) => page,
             Some(PeerAnswer::Gone) => return Ok(TopicRead::Gone),
-            None => return self.note(self.log.read(topic, from, wait).await),
+            None => {
+                let wait = self.own_wait(wait);
+                return self.note(self.log.read(topic, from, wait).await);
+            }
         };
         let mut records = Vec::with_capacity(page.records.len());
         for record in page.records {
--- a/src/topic_feed.rs
+++ b/src/topic_feed.rs
@@ -16,7 +16,7 @@
     Gone,
     /// Records from the offset on.
     Records(FeedPage),
-    /// The topic was not read to its end yet.
+    /// The topic was not read to its end yet, or cannot be read now.
     Unknown,
 }
 
@@ -37,6 +37,8 @@
     changes: VecDeque<KeyedRecord>,
     /// Offset from which no change is missing.
     complete_from: LogOffset,
+    /// True while reads fail.
+    is_lost: bool,
     newest: BTreeMap<SmolStr, KeyedRecord>,
     /// End of the topic, and when a read showed that it ended there.
     proof: Option<(LogOffset, Duration)>,
@@ -58,8 +60,14 @@
         }
     }
 
+    /// Records that reads fail: peers that can read the log had better do so.
+    pub fn lose(&mut self) {
+        self.is_lost = true;
+    }
+
     /// Takes the proof that the topic ended at `end` at a time.
     pub fn prove(&mut self, at: Duration, end: LogOffset) {
+        self.is_lost = false;
         let Some((known_end, known_at)) = self.proof else {
             // What was dropped before the first pages is not known.
             self.complete_from = end;
@@ -71,7 +79,7 @@
 
     /// Records from an offset on.
     pub fn read(&self, from: LogOffset) -> FeedRead {
-        let Some((end, proven_at)) = self.proof else {
+        let Some((end, proven_at)) = self.proof.filter(|_| !self.is_lost) else {
             return FeedRead::Unknown;
         };
         if from < self.complete_from {
@@ -87,7 +95,7 @@
 
     /// The newest record of each key; `None` before the topic was read to its end.
     pub fn newest(&self) -> Option<FeedPage> {
-        let (end, proven_at) = self.proof?;
+        let (end, proven_at) = self.proof.filter(|_| !self.is_lost)?;
         Some(FeedPage {
             end,
             proven_at,
@@ -108,6 +116,7 @@
             age_ms: received_at.as_millis() as i64 - self.proven_at.as_millis() as i64,
             end: self.end,
             gone: false,
+            unknown: false,
             records: records.collect(),
         }
     }
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -331,6 +331,9 @@
     pub age_ms: i64,
     #[prost(message, repeated, tag = "4")]
     pub records: ::prost::alloc::vec::Vec<TopicRecord>,
+    /// True if the peer cannot read the topic itself now, or has not read it yet.
+    #[prost(bool, tag = "5")]
+    pub unknown: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TopicRecord {
--- a/tests/decisions/topic_feed.rs
+++ b/tests/decisions/topic_feed.rs
@@ -93,3 +93,14 @@
     assert!(told.proven_at <= Duration::from_secs(limit_s), "{told:?}");
     assert!(told.proven_at + Duration::from_secs(2) >= sent_at);
 }
+
+// The store turns the reader away and serves its peers: they have to notice before an edit is late.
+#[test]
+fn reader_that_cannot_read_the_log_tells_nothing_until_it_can() {
+    let mut feed = feed();
+    feed.lose();
+    assert_eq!(feed.read(10), FeedRead::Unknown);
+    assert_eq!(feed.newest(), None);
+    feed.prove(READ_AT, 12);
+    assert_eq!(records(feed.read(10)), Vec::<LogOffset>::new());
+}
