Admit after a restart what a share of the limit brings, and no more

A restarted instance took itself for the only one until it had read the others' names, began each account with half of a burst and one large call on credit, and took the demand that it saw first for its share while the others' was not told yet.

Ruled out: the news between instances (the window begins after the restart); the order of the kill and the usage counts.

Change: until a window has passed, an instance takes the deployment for a hundred instances before the log told how many, a share is at most 1.25 equal ones, and the first call's credit is spread: an account begins with a debt between nothing and one call that differs by instance, repaid from the restart on.

--- a/src/serving.rs
+++ b/src/serving.rs
@@ -119,7 +119,7 @@
             first_window: window_of(unix, settings.usage_window),
             in_flight: Cell::new(0),
             life: unix.as_millis() as u64,
-            limits: RefCell::new(UseLimits::new(settings.limit_window, unknown_until)),
+            limits: RefCell::new(UseLimits::new(settings.limit_window, unknown_until, seed)),
             links: Rc::default(),
             metrics,
             peers: RefCell::default(),
--- a/src/use_limits.rs
+++ b/src/use_limits.rs
@@ -24,9 +24,12 @@
 /// partitions, in which each side has its share.
 const EXTRAPOLATED_MAX: Duration = Duration::from_secs(3);
 
-/// Part of its share of a burst that a restarted instance may admit at once: what it admitted
-/// before is not known.
-const UNKNOWN_BURST_PART: f64 = 0.5;
+/// Instances that a restarted one takes the deployment for until the log has told it.
+const INSTANCES_UNKNOWN: usize = 100;
+
+/// Most that a restarted instance takes for its share, in equal shares: the demand of the others is
+/// told only in part yet, and all of them may have restarted.
+const UNKNOWN_SHARE_FACTOR: f64 = 1.25;
 
 /// Slots that a window is divided into.
 const WINDOW_SLOTS: u64 = 16;
@@ -69,6 +72,8 @@
     /// Instances that the log knows, with this one.
     instances: usize,
     peers: HashMap<InstanceName, PeerDemand>,
+    /// A number below one that differs between instances.
+    seed_fraction: f64,
     /// End of the time in which an earlier life may have admitted what this one does not know.
     unknown_until: Duration,
     window: Duration,
@@ -76,12 +81,17 @@
 
 impl UseLimits {
     /// Creates the limits; a limit holds over any `window`, beside its burst. What was admitted
-    /// before `unknown_until` less a window is not known.
-    pub fn new(window: Duration, unknown_until: Duration) -> Self {
+    /// before `unknown_until` less a window is not known. Instances differ in `seed`.
+    pub fn new(window: Duration, unknown_until: Duration, seed: u64) -> Self {
+        let instances = match unknown_until.is_zero() {
+            true => 1,
+            false => INSTANCES_UNKNOWN,
+        };
         Self {
             accounts: HashMap::new(),
-            instances: 1,
+            instances,
             peers: HashMap::new(),
+            seed_fraction: xxh3_64(&seed.to_le_bytes()) as f64 / u64::MAX as f64,
             unknown_until,
             window,
         }
@@ -105,16 +115,22 @@
         let peers = self.peers_demand(now, &account.name);
         let instances = self.instances as f64;
         let knows_window = now >= self.unknown_until;
-        let first_part = match knows_window {
-            true => 1.0,
-            false => UNKNOWN_BURST_PART,
-        };
+        let started_at = self.unknown_until.saturating_sub(self.window);
         let slot = self.slot(now);
         let entry = self.accounts.entry(account.name.clone());
-        let account_use = entry.or_insert_with(|| AccountUse {
-            admitted: SlidingSum::default(),
-            asked: DecayingRate::default(),
-            bucket: Bucket::new(now, limit.burst / instances * first_part),
+        let account_use = entry.or_insert_with(|| {
+            let share = limit.burst / instances;
+            // Many instances may have restarted at once, and what they admitted before is not known.
+            // Each call borrows from later ones: on average the first ones borrow nothing.
+            let (first_at, first) = match knows_window {
+                true => (now, share),
+                false => (started_at, -units * self.seed_fraction),
+            };
+            AccountUse {
+                admitted: SlidingSum::default(),
+                asked: DecayingRate::default(),
+                bucket: Bucket::new(first_at, first),
+            }
         });
         account_use.asked.add(now, units);
         let allowance = limit.rate_per_s * self.window.as_secs_f64() + limit.burst;
@@ -123,6 +139,10 @@
             true => share_of(account_use.asked.at(now), peers.asked_per_s),
             false => 1.0 / instances,
         };
+        let share = match knows_window {
+            true => share,
+            false => share.min(UNKNOWN_SHARE_FACTOR / instances),
+        };
         let rate_per_s = limit.rate_per_s * share;
         let capacity = limit.burst * share;
         account_use.bucket.refill(now, rate_per_s, capacity);
--- a/tests/decisions/use_limits.rs
+++ b/tests/decisions/use_limits.rs
@@ -16,6 +16,8 @@
 const TELL_EVERY: u64 = 30;
 const TOLD_A_ROUND: usize = 24;
 const CALL_UNITS: f64 = 3_000.0;
+/// Time of an instance's start in which it does not know the others.
+const START_TIME: Duration = Duration::from_millis(400);
 const LARGE_CALL_UNITS: f64 = 12_000.0;
 const RATE_PER_S: f64 = 160_000.0;
 
@@ -59,9 +61,8 @@
 
     /// Kills all instances; they start again and know nothing.
     fn restart_all(&mut self) {
-        let count = self.instances.len();
-        for instance in &mut self.instances {
-            *instance = started(count, self.now + WINDOW);
+        for (seed, instance) in self.instances.iter_mut().enumerate() {
+            *instance = UseLimits::new(WINDOW, self.now + WINDOW, seed as u64);
         }
     }
 
@@ -98,6 +99,14 @@
         self.worst = self.worst.max(sum);
     }
 
+    /// All instances have read in the log who the others are.
+    fn know_all(&mut self) {
+        let count = self.instances.len();
+        for instance in &mut self.instances {
+            instance.set_instances(count);
+        }
+    }
+
     /// Each instance tells the others, in large worlds some of them a round.
     fn tell_all(&mut self) {
         let count = self.instances.len();
@@ -122,7 +131,7 @@
 }
 
 fn started(count: usize, unknown_until: Duration) -> UseLimits {
-    let mut limits = UseLimits::new(WINDOW, unknown_until);
+    let mut limits = UseLimits::new(WINDOW, unknown_until, 0);
     limits.set_instances(count);
     limits
 }
@@ -198,10 +207,45 @@
     world.run(Duration::from_secs(20), &spread(RATE_PER_S / 1.8), true);
     world.run(Duration::from_secs(12), &spread(RATE_PER_S * 4.0), true);
     world.restart_all();
+    world.run(START_TIME, &spread(RATE_PER_S * 4.0), false);
+    world.know_all();
     world.run(Duration::from_secs(12), &spread(RATE_PER_S * 4.0), true);
     world.assert_kept();
 }
 
+#[test]
+fn limit_holds_over_a_restart_of_many_instances() {
+    let demand = [RATE_PER_S * 4.0 / 72.0; 72];
+    let mut world = World::new(72);
+    world.set_call_units(LARGE_CALL_UNITS);
+    world.run(
+        Duration::from_secs(20),
+        &[RATE_PER_S / 1.8 / 72.0; 72],
+        true,
+    );
+    world.run(Duration::from_secs(12), &demand, true);
+    world.restart_all();
+    world.run(START_TIME, &demand, false);
+    world.know_all();
+    world.run(Duration::from_secs(12), &demand, true);
+    world.assert_kept();
+}
+
+// A planned restart: the other instances go on, and callers ask for their usual.
+#[test]
+fn usual_demand_after_a_restart_is_mostly_served() {
+    let demand = [RATE_PER_S / 1.8 / 72.0; 72];
+    let mut world = World::new(72);
+    world.set_call_units(LARGE_CALL_UNITS);
+    world.run(Duration::from_secs(20), &demand, true);
+    world.restart_all();
+    world.know_all();
+    world.run(Duration::from_secs(10), &demand, true);
+    let asked = RATE_PER_S / 1.8 * 10.0 / LARGE_CALL_UNITS;
+    let refused = f64::from(world.refused);
+    assert!(refused < asked * 0.5, "{refused} of {asked} refused");
+}
+
 #[test]
 fn limit_holds_while_instances_cannot_tell_each_other() {
     let mut world = World::new(6);
