--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,124 @@
+//! Admits a call: reads it, finds its route and account, and charges the account's limit.
+
+use super::*;
+
+use std::rc::Rc;
+
+use actix_http::Request;
+use tokio::time::Instant as TokioInstant;
+
+/// Time that a caller waits if it does not say.
+const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
+
+/// Reads a request, finds its route and account, and charges the account's limit.
+pub(crate) async fn accept_call(
+    serving: &Rc<Serving>,
+    mut request: Request,
+    received_at: TokioInstant,
+    request_id: &mut RequestId,
+) -> Result<Exchange> {
+    let call = serving.dialect.read_call(request.head())?;
+    *request_id = call.request_id.clone();
+    let body = read_body(&mut request, body_bound(serving)).await?;
+    let now = boot_time();
+    let policy = policy_for(serving, now)?;
+    let route = policy
+        .route_for(&call.host, call.uri.path())
+        .ok_or(Error::UnknownRoute)?
+        .clone();
+    let account = match &call.account_key {
+        _ if route.anonymous => None,
+        None => return Err(Error::UnknownKey),
+        Some(key) => Some(policy.account_by_key(key).ok_or(Error::UnknownKey)?),
+    };
+    let time_left = call
+        .time_left
+        .unwrap_or(DEFAULT_TIME_LEFT)
+        .min(route.timeout);
+    let mut units = 0.0;
+    if let Some(account) = account
+        && let Some(limit) = account.limit
+    {
+        let prompt_units = call.prompt.as_ref().map(Prompt::units);
+        units = match prompt_units {
+            Some(units) if limit.in_tokens => units,
+            Some(_) | None => limit.plain_call_units,
+        };
+        serving.limits.borrow_mut().admit(now, account, units)?;
+    }
+    let priority = account
+        .and_then(|account| account.priority)
+        .unwrap_or(route.priority);
+    let account = account.map(|account| account.name.clone());
+    let service = pick_service(serving, &route, account.as_ref(), &call)?;
+    let engine = policy.service(&service).and_then(|service| service.engine);
+    Ok(Exchange {
+        account,
+        body,
+        call,
+        connect_failures: 0,
+        ends_at: received_at + time_left,
+        engine,
+        may_have_run: false,
+        priority,
+        received_at,
+        route,
+        sends: 0,
+        service,
+        serving: serving.clone(),
+        tried: SmallVec::new(),
+        units,
+    })
+}
+
+/// The policy, if it is fresh enough to decide about keys and routes.
+fn policy_for(serving: &Serving, now: Duration) -> Result<Arc<Policy>> {
+    serving
+        .book
+        .borrow()
+        .fresh(now, serving.policy_age_max.get())
+}
+
+fn body_bound(serving: &Serving) -> usize {
+    let book = serving.book.borrow();
+    book.in_force().map_or(0, |policy| policy.body_max_bytes)
+}
+
+async fn read_body(request: &mut Request, limit_bytes: usize) -> Result<Bytes> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| Error::BadRequest {
+            reason: format!("body was cut: {error}; send it again"),
+        })?;
+        if limit_bytes > 0 && body.len() + chunk.len() > limit_bytes {
+            return Err(Error::BodyTooLarge { limit_bytes });
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn pick_service(
+    serving: &Serving,
+    route: &PolicyRoute,
+    account: Option<&AccountName>,
+    call: &CallHead,
+) -> Result<ServiceName> {
+    if let [(service, _)] = route.services.as_slice() {
+        return Ok(service.clone());
+    }
+    let weights: SmallVec<[u32; 4]> = route.services.iter().map(|(_, weight)| *weight).collect();
+    let usable = SmallVec::<[bool; 4]>::from_elem(true, weights.len());
+    let account = account.cloned().unwrap_or_default();
+    let subject = Subject::Route(route.name.clone());
+    let mut shares = serving.shares.borrow_mut();
+    let index = shares.pick(&account, &subject, &weights, &usable, None);
+    match index {
+        Some(index) => Ok(route.services[index].0.clone()),
+        None => Err(Error::NoServer {
+            subject: Subject::Route(call.uri.path().into()),
+            retry_after_ms: REFUSED_RETRY.as_millis() as u64,
+        }),
+    }
+}
