Revert the copies of shared parts; keep the doubt about homes that are not settled

Copies queue at the holder's link, which no instance sees; with 85 of them calls waited for the queue.

Homes and holders stay: a new home counts as half cold for ten seconds, in placement and in the demand that capacity is ordered for.

After: 73 decision tests pass.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -51,14 +51,12 @@
         .unwrap_or(route.priority);
     let account = account.map(|account| account.name.clone());
     let service = pick_service(serving, &route, account.as_ref(), &call)?;
-    let engine = policy.service(&service).and_then(|service| service.engine);
     Ok(Exchange {
         account,
         body,
         call,
         connect_failures: 0,
         ends_at: received_at + time_left,
-        engine,
         may_have_run: false,
         priority,
         received_at,
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -35,8 +35,6 @@
 pub struct AttemptHead<'a> {
     /// Account that the caller's key belongs to.
     pub account: Option<&'a AccountName>,
-    /// Server that the call's server is to copy cached parts of the prompt from.
-    pub copy_from: Option<SocketAddr>,
     /// Last event that the caller has, if the attempt goes on after it.
     pub last_event_id: Option<&'a str>,
     /// Rank among the calls that wait at the server; 0 is the most urgent.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -79,8 +79,6 @@
     pub(crate) connect_failures: u32,
     /// When the answer is of no use any more.
     pub(crate) ends_at: TokioInstant,
-    /// What is known of the service's engines.
-    pub(crate) engine: Option<EnginePolicy>,
     /// True once an attempt may have run.
     pub(crate) may_have_run: bool,
     /// Rank of the call; 0 is the most urgent.
@@ -263,7 +261,6 @@
             &self.call,
             AttemptHead {
                 account: self.account.as_ref(),
-                copy_from: attempt.placed.copy_from,
                 last_event_id,
                 priority: self.priority,
                 server: &attempt.placed.server,
@@ -325,7 +322,6 @@
     fn place(&mut self) -> Result<Placed> {
         let now = boot_time();
         let ask = PlaceAsk {
-            engine: self.engine,
             prompt: self.call.prompt.as_ref(),
             service: &self.service,
             suspect: false,
@@ -343,13 +339,12 @@
         }
         info!(
             "place request={} route={} account={account} server={} wait_ms={} cached_tokens={} \
-             copy_from={:?} attempt={}",
+             attempt={}",
             self.call.request_id,
             self.route.name,
             placed.server,
             placed.wait.as_millis(),
             placed.cached_tokens,
-            placed.copy_from,
             self.tried.len() + 1,
         );
         Ok(placed)
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -127,15 +127,10 @@
         sum
     }
 
-    fn reading_need(
-        &self,
-        prompt: &Prompt,
-        prefixes: &PrefixHashes,
-        homes: &Homes,
-        engine: Option<EnginePolicy>,
-    ) -> ReadingNeed {
+    /// Tokens of a prompt that it has to read, as far as this instance knows.
+    fn tokens_to_read(&self, prompt: &Prompt, prefixes: &PrefixHashes, homes: &Homes) -> f64 {
         let cached_parts = self.prefixes.cached_blocks(prefixes);
-        reading_need(&self.record, cached_parts, prompt, homes, engine)
+        homes.tokens_to_read(&self.record.id, cached_parts, prompt)
     }
 
     /// This instance's calls there, to tell peers.
@@ -176,8 +171,6 @@
 /// What placement has to know of a call.
 #[derive(Debug, Clone, Copy)]
 pub struct PlaceAsk<'a> {
-    /// What is known of the service's engines.
-    pub engine: Option<EnginePolicy>,
     /// Prompt, for model calls.
     pub prompt: Option<&'a Prompt>,
     /// Service that the call goes to.
@@ -195,10 +188,8 @@
     pub address: SocketAddr,
     /// Time for which earlier prompts were believed to keep the server busy.
     pub backlog: Duration,
-    /// Prompt tokens believed to be in the server's cache, or copied there.
+    /// Prompt tokens believed to be in the server's cache.
     pub cached_tokens: u32,
-    /// Server that it is to copy cached parts of the prompt from.
-    pub copy_from: Option<SocketAddr>,
     /// Data centre of the server.
     pub data_centre: DataCentreName,
     /// True if the server is the one that all instances agree on for the prompt's shared parts, and
@@ -523,7 +514,6 @@
             address: server.record.address,
             backlog,
             cached_tokens: 0,
-            copy_from: None,
             data_centre: server.record.data_centre.clone(),
             is_warm_home: false,
             server: id.clone(),
@@ -532,16 +522,13 @@
         let Some(prompt) = ask.prompt else {
             return placed;
         };
-        let need = server.reading_need(prompt, prefixes, homes, ask.engine);
+        let tokens = server.tokens_to_read(prompt, prefixes, homes);
         let cached_here = server.prefixes.cached_blocks(prefixes);
         placed.is_warm_home = homes.is_home(id) && cached_here >= prompt.shared_count();
-        placed.cached_tokens = prompt.tokens.saturating_sub(need.read_tokens as u32);
-        if need.copied_tokens > 0.0 {
-            placed.copy_from = homes.holder.as_ref().map(|holder| holder.address);
-        }
+        placed.cached_tokens = prompt.tokens.saturating_sub(tokens as u32);
         let rate = self.prefill_rates.entry(ask.service.clone()).or_default();
-        rate.add(now, need.read_tokens);
-        let work = Duration::from_secs_f64(need.read_tokens / tokens_per_ms / 1_000.0);
+        rate.add(now, tokens);
+        let work = Duration::from_secs_f64(tokens / tokens_per_ms / 1_000.0);
         server.prefill_until = server.prefill_until.max(now) + work;
         server.prefixes.record(now, prefixes);
         placed
@@ -576,15 +563,10 @@
                 home_score = score;
                 homes.home = Some(record.id.clone());
             }
-            // One that leaves can still be copied from.
             let is_settled = now.saturating_sub(server.seen_at) >= SETTLE_TIME;
             if score >= holder_score && is_settled && self.is_well(server, now) {
                 holder_score = score;
-                homes.holder = Some(Holder {
-                    address: record.address,
-                    data_centre: record.data_centre.clone(),
-                    id: record.id.clone(),
-                });
+                homes.holder = Some(record.id.clone());
             }
         }
         homes
@@ -606,10 +588,9 @@
             let load = f64::from(server.running()) / f64::from(server.record.slots.max(1));
             return cost + load * PLAIN_CALL_COST_MS;
         };
-        let need = server.reading_need(prompt, prefixes, homes, ask.engine);
         let backlog = server.backlog(now);
-        cost += need.read_tokens / self.tokens_per_ms(ask.service);
-        cost += need.copy_ms;
+        let tokens = server.tokens_to_read(prompt, prefixes, homes);
+        cost += tokens / self.tokens_per_ms(ask.service);
         cost += backlog.as_secs_f64() * 1_000.0;
         cost += f64::from(server.running()) * RUNNING_COST_MS;
         if server.running() >= server.record.slots {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,9 +60,6 @@
 /// What is known of the engines of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EnginePolicy {
-    /// Time to copy a token of cached prompt from another engine in its data centre, in
-    /// milliseconds; `None` if engines cannot.
-    pub copy_ms_per_token: Option<f64>,
     /// Requests that one engine runs at once.
     pub slots: u32,
 }
