Let instances with few requests save up for two retries

Savings were capped by the calls of the last window; an instance with less than 1.6 calls a second, as the test's on a busy machine, could never pay a retry, whatever it had saved before.

Ruled out: the stream's resumption (the same test passed six times on the quiet machine before).

Change: RetryTerms::over_window; two retries can always be saved up, which the slack beside the bound covers.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -24,6 +24,20 @@
     pub saved_max_requests: i64,
 }
 
+/// Retries that an instance can save up however few requests it gets.
+const SAVED_LEAST: i64 = 2;
+
+impl RetryTerms {
+    /// Terms for retries that are a part of the requests of a window, of which so many are saved.
+    pub fn over_window(retry_part: f64, saved_requests: f64) -> Self {
+        let requests_per_retry = (1.0 / retry_part.clamp(0.01, 1.0)).ceil() as i64;
+        Self {
+            requests_per_retry,
+            saved_max_requests: (saved_requests as i64).max(SAVED_LEAST * requests_per_retry),
+        }
+    }
+}
+
 impl Default for RetryTerms {
     fn default() -> Self {
         Self {
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -137,12 +137,10 @@
         let mut accepted = self.accepted.borrow_mut();
         accepted.add(now, 1.0);
         let a_window = accepted.at(now) * self.settings.retry_window.as_secs_f64();
-        let retry_part = (self.settings.retry_part * RETRY_SPENT_PART).clamp(0.01, 1.0);
+        let retry_part = self.settings.retry_part * RETRY_SPENT_PART;
+        let terms = RetryTerms::over_window(retry_part, a_window * RETRY_SAVED_PART);
         let mut budget = self.budget.borrow_mut();
-        budget.set_terms(RetryTerms {
-            requests_per_retry: (1.0 / retry_part).ceil() as i64,
-            saved_max_requests: (a_window * RETRY_SAVED_PART) as i64,
-        });
+        budget.set_terms(terms);
         budget.deposit(account, service);
     }
 
