Move a call on a suspicion only where another server can take it

Cause: a suspicion was treated as a failure. When a data centre seemed cut off, a call there ended with an error unless the retry budget could pay for another attempt; when a server was silent, a retry was withdrawn and the server abandoned before it was known that another one could take the call. A suspicion now only moves a call: if another server is healthy and a retry is paid. Otherwise the call stays until its deadline.

Ruled out: the server (its run ended by our close), a planned stop (none).

Still open: why a reachable data centre was taken for cut off.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -36,6 +36,9 @@
 /// Timeout for reading the body of a server's refusal; the body is short and arrives with the head.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Reason for moving a call away from a server whose data centre seems cut off.
+pub(crate) const CUT_OFF_REASON: &str = "data centre seems cut off";
+
 /// `Retry-After` value sent when no server accepted a call.
 pub(crate) const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -124,9 +127,9 @@
     NotRun(String),
     /// The server may have run the call, but its response was lost.
     Lost(String),
-    /// The response did not begin in time, so the call goes to another server; a retry has already
-    /// been withdrawn from the retry budget for it.
-    Moved,
+    /// The server seems unresponsive or cut off, so the call goes to another server; a retry has
+    /// already been withdrawn from the retry budget for it. Holds the reason.
+    Moved(&'static str),
     /// The caller's deadline passed.
     TimedOut,
     /// The head of an event stream; the body follows.
@@ -139,13 +142,12 @@
 enum SendResult {
     /// The head of the response arrived.
     Answered(Box<ServerResponse>),
-    /// The data centre of the server became unreachable from this instance.
-    CutOff,
     /// The connection could not be opened, or it broke; the error tells whether anything was sent.
     Failed(ServerCallError),
-    /// The response did not begin in time, and a retry has been withdrawn from the retry budget for
-    /// the next attempt.
-    GivenUp,
+    /// The response did not begin in time, or the data centre of the server seems cut off; another
+    /// server can take the call, and a retry has been withdrawn from the retry budget for it. Holds
+    /// the reason.
+    GivenUp(&'static str),
     /// The caller's deadline passed.
     TimedOut,
 }
@@ -222,8 +224,8 @@
                         return Err(self.lost_error(reason));
                     }
                 }
-                AttemptResult::Moved => {
-                    self.log_attempt_failure("moved", "no answer in time");
+                AttemptResult::Moved(reason) => {
+                    self.log_attempt_failure("moved", reason);
                     self.may_have_run = true;
                 }
                 AttemptResult::TimedOut => {
@@ -248,14 +250,10 @@
         let sent_at = TokioInstant::now();
         let response = match self.send(&mut attempt, last_event_id).await {
             SendResult::Answered(response) => *response,
-            SendResult::CutOff => {
-                self.sends += 1;
-                return Ok(AttemptResult::Lost("data centre was cut off".to_owned()));
-            }
             SendResult::Failed(error) => return Ok(self.on_send_error(&mut attempt, error)),
-            SendResult::GivenUp => {
+            SendResult::GivenUp(reason) => {
                 self.sends += 1;
-                return Ok(AttemptResult::Moved);
+                return Ok(AttemptResult::Moved(reason));
             }
             SendResult::TimedOut => {
                 self.sends += 1;
@@ -269,8 +267,9 @@
     }
 
     /// Sends an attempt and waits for the head of its response, at most until the caller's
-    /// deadline. If the call may be sent again, the attempt is given up sooner when
-    /// `end_response_wait` decides to retry or the server's data centre becomes unreachable.
+    /// deadline. If the call may be sent again and another server can take it, the attempt is given
+    /// up sooner when `end_response_wait` decides to retry or the server's data centre seems cut
+    /// off.
     async fn send(&self, attempt: &mut Attempt, last_event_id: Option<&str>) -> SendResult {
         let sent_at = TokioInstant::now();
         let time_left = self.deadline - sent_at;
@@ -301,13 +300,18 @@
             None => self.deadline,
         };
         let centre = attempt.placed.data_centre.clone();
+        let mut waits_for_cut_off = response_wait.is_some();
         loop {
             let sent = tokio::select! {
                 biased;
                 sent = timeout_at(wait_until, &mut sending) => sent,
-                () = wait_for_cut_off(&self.serving, &centre), if response_wait.is_some() => {
+                () = wait_for_cut_off(&self.serving, &centre), if waits_for_cut_off => {
+                    waits_for_cut_off = false;
+                    if !self.acquire_move() {
+                        continue;
+                    }
                     attempt.outcome = AttemptOutcome::Broken;
-                    return SendResult::CutOff;
+                    return SendResult::GivenUp(CUT_OFF_REASON);
                 }
             };
             match (sent, response_wait) {
@@ -315,7 +319,7 @@
                 (Ok(Err(error)), _) => return SendResult::Failed(error),
                 (Err(_), Some(response_wait)) if wait_until < self.deadline => {
                     match self.end_response_wait(response_wait, attempt, sent_at) {
-                        TimeoutAction::Retry => return SendResult::GivenUp,
+                        TimeoutAction::Retry => return SendResult::GivenUp("no answer in time"),
                         TimeoutAction::WaitForDeadline => wait_until = self.deadline,
                         TimeoutAction::WaitUntil(waited) => {
                             wait_until = (sent_at + waited).min(self.deadline);
@@ -395,7 +399,7 @@
             let fleet = self.serving.fleet.borrow();
             fleet.has_answered_since(since, &attempt.placed.server)
         };
-        let action = response_wait.decide(waited, server_answers, || self.withdraw_retry());
+        let action = response_wait.decide(waited, server_answers, || self.acquire_move());
         if action == TimeoutAction::Retry && !server_answers {
             attempt.outcome = AttemptOutcome::Broken;
         }
@@ -488,6 +492,25 @@
         self.sends < self.route.attempts_max && self.withdraw_retry()
     }
 
+    /// Withdraws a retry for moving a call away from a server that may still be working on it.
+    /// Returns false if no healthy server could take the call or [`acquire_retry`] does: the call
+    /// then stays, since a late answer is better than none.
+    ///
+    /// [`acquire_retry`]: Self::acquire_retry
+    pub(crate) fn acquire_move(&self) -> bool {
+        let query = PlacementQuery {
+            prompt: self.call.prompt.as_ref(),
+            service: &self.service,
+            suspect: false,
+            tried: &self.tried,
+        };
+        let can_place = {
+            let fleet = self.serving.fleet.borrow();
+            fleet.has_healthy_server(boot_time(), &query)
+        };
+        can_place && self.acquire_retry()
+    }
+
     /// Takes a retry from the budget, which limits retries to a fraction of the accepted calls.
     /// Returns false if no retry is left for the instance, the account or the service.
     fn withdraw_retry(&self) -> bool {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -462,10 +462,7 @@
     pub fn place(&mut self, now: Duration, query: PlacementQuery<'_>) -> Result<PlacedAttempt> {
         let prefixes = query.prompt.map(Prompt::prefixes).unwrap_or_default();
         // If no server is known to be healthy, an unhealthy one is better than none.
-        let healthy_only = self
-            .servers
-            .values()
-            .any(|server| self.is_eligible(server, now, &query, true));
+        let healthy_only = self.has_healthy_server(now, &query);
         let affinity = self.prefix_affinity(now, &query, &prefixes, healthy_only);
         let mut best: Option<(f64, ServerName)> = None;
         for server in self.servers.values() {
@@ -484,6 +481,13 @@
         Ok(self.commit(now, &id, &query, &prefixes, &affinity, cost_ms))
     }
 
+    /// Returns true if [`place`](Self::place) would choose a server that is healthy.
+    pub fn has_healthy_server(&self, now: Duration, query: &PlacementQuery<'_>) -> bool {
+        self.servers
+            .values()
+            .any(|server| self.is_eligible(server, now, query, true))
+    }
+
     /// Records that a server has begun to answer a call; called when the head of the answer
     /// arrives.
     pub fn record_answer(&mut self, now: Duration, id: &str) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -122,6 +122,7 @@
 use crate::error::Result;
 use crate::exchange::Attempt;
 use crate::exchange::AttemptResponse;
+use crate::exchange::CUT_OFF_REASON;
 use crate::exchange::Exchange;
 use crate::exchange::InFlightGuard;
 use crate::exchange::REFUSED_RETRY_AFTER;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -27,9 +27,12 @@
     ended: bool,
     events: SseParser,
     exchange: Exchange,
+    /// True once the data centre of the server seemed cut off and the stream could not be moved to
+    /// another server; it then waits for the server.
+    ignores_cut_off: bool,
     last_event_id: Option<SmolStr>,
-    /// True once a stalled stream could not be moved to another server because the retry budget was
-    /// exhausted; it then waits until the caller's deadline.
+    /// True once a stalled stream could not be moved to another server; it then waits until the
+    /// caller's deadline.
     waits_for_deadline: bool,
 }
 
@@ -49,6 +52,7 @@
             ended: false,
             events: SseParser::default(),
             exchange,
+            ignores_cut_off: false,
             last_event_id: None,
             waits_for_deadline: false,
         };
@@ -65,11 +69,16 @@
             }
             let read_deadline = self.read_deadline();
             let can_move = read_deadline < self.exchange.deadline;
+            let watches_centre = can_move && !self.ignores_cut_off;
             let read = tokio::select! {
                 biased;
                 read = timeout_at(read_deadline, self.body.next()) => read,
-                () = wait_for_cut_off(&self.exchange.serving, &self.centre), if can_move => {
-                    match self.try_resume("data centre was cut off".to_owned()).await {
+                () = wait_for_cut_off(&self.exchange.serving, &self.centre), if watches_centre => {
+                    if !self.exchange.acquire_move() {
+                        self.ignores_cut_off = true;
+                        continue;
+                    }
+                    match self.resume(CUT_OFF_REASON.to_owned()).await {
                         Ok(()) => continue,
                         Err(error) => return Some(self.finish_broken(error).await),
                     }
@@ -83,8 +92,7 @@
                     Err(error) => return Some(self.finish_broken(error).await),
                 },
                 Err(_) if read_deadline < self.exchange.deadline => {
-                    // If the retry budget is exhausted, a slow stream is better than a failed one.
-                    if !self.exchange.acquire_retry() {
+                    if !self.exchange.acquire_move() {
                         self.waits_for_deadline = true;
                         continue;
                     }
@@ -169,6 +177,8 @@
                 self.centre = attempt.placed.data_centre.clone();
                 self.attempt = Some(attempt);
                 self.body = response.body;
+                self.ignores_cut_off = false;
+                self.waits_for_deadline = false;
                 Ok(())
             }
             AttemptResponse::Whole(..) => Err(self.exchange.lost_error(reason)),
