Spread the digests that an instance receives over rounds and data centres

Cause: with more than 24 peers, each instance sends to 24 of them a round, in the order of their names and from the same place. Instances that start together send to the same 24 peers in the same round, so that a peer hears all of them at once and then nobody: for 1.2 s with 85 instances, 3.9 s with 300, where 0.7 s of silence start a probe. The order is now that of the hash of the names, and each sender begins elsewhere.

Ruled out: lost datagrams and starved processes; the play without any I/O shows the gap.

Test: data_centre_does_not_seem_silent_while_digests_rotate_over_the_peers failed with 85 (1.2 s) and 300 instances (3.9 s) and passes now.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -14,20 +14,7 @@
 use tokio::net::UdpSocket;
 
 /// Interval between rounds of digests.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
-
-/// Maximum number of peers that receive a digest in one round. Small deployments send to all peers
-/// at once; larger ones rotate through them, so that traffic grows linearly with the number of
-/// instances instead of quadratically. With a hundred instances, account limits rely on demand that
-/// is up to 1.5 s old; the overage that they allow covers this delay.
-const PEERS_PER_ROUND_MAX: usize = 24;
-
-/// Time without a digest from a peer after which this instance sends it one only every
-/// [`SILENT_ROUNDS`] rounds.
-const SILENT_AFTER: Duration = Duration::from_secs(10);
-
-/// A silent peer receives a digest in only one of this many rounds.
-const SILENT_ROUNDS: u64 = 10;
+pub const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Size in bytes of the receive buffer, which holds the longest possible datagram.
 const DATAGRAM_MAX_BYTES: usize = 64 << 10;
@@ -135,7 +122,9 @@
     for round in 0_u64.. {
         let now = boot_time();
         let mut digest = local_digest(&serving, now);
-        for (address, echoed) in targets(&serving, now, round) {
+        let own = &serving.settings.instance;
+        let targets = serving.peers.borrow().digest_targets(now, own, round);
+        for (address, echoed) in targets {
             digest.echoed = echoed;
             // The next digest follows soon, so a loss to a full socket or an unreachable peer is
             // ignored.
@@ -145,29 +134,6 @@
     }
 }
 
-fn targets(
-    serving: &ServingState,
-    now: Duration,
-    round: u64,
-) -> Vec<(SocketAddr, Option<Duration>)> {
-    let mut targets = Vec::new();
-    for (_, peer) in serving.peers.borrow().iter() {
-        let silent = peer
-            .last_digest
-            .is_none_or(|(received_at, _)| now.saturating_sub(received_at) > SILENT_AFTER);
-        if silent && !round.is_multiple_of(SILENT_ROUNDS) {
-            continue;
-        }
-        targets.push((peer.address, peer.last_digest.map(|(_, sent)| sent)));
-    }
-    if targets.len() > PEERS_PER_ROUND_MAX {
-        let first = (round as usize).wrapping_mul(PEERS_PER_ROUND_MAX) % targets.len();
-        targets.rotate_left(first);
-        targets.truncate(PEERS_PER_ROUND_MAX);
-    }
-    targets
-}
-
 /// Builds the current digest. The caller sets `echoed`, the send time of the last digest from the
 /// receiver, for each peer.
 fn local_digest(serving: &ServingState, now: Duration) -> PeerDigest {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -22,6 +22,23 @@
 /// covers several rounds of digests in large deployments.
 const LIVE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Maximum number of peers that receive a digest in one round. Small deployments send to all peers
+/// at once; larger ones rotate through them, so that traffic grows linearly with the number of
+/// instances instead of quadratically. With a hundred instances, account limits rely on demand that
+/// is up to 1.5 s old; the overage that they allow covers this delay.
+const PEERS_PER_ROUND_MAX: usize = 24;
+
+/// Time without a digest from a peer after which this instance sends it one only every
+/// [`SILENT_ROUNDS`] rounds.
+const SILENT_AFTER: Duration = Duration::from_secs(10);
+
+/// A silent peer receives a digest in only one of this many rounds.
+const SILENT_ROUNDS: u64 = 10;
+
+/// Address of a peer and the send time of the last digest that it sent, which the next digest to it
+/// contains; `None` if it sent none.
+pub type DigestTarget = (SocketAddr, Option<Duration>);
+
 /// Another instance, known from its record in the log or from a digest.
 #[derive(Debug)]
 pub struct Peer {
@@ -94,6 +111,39 @@
         self.by_name.iter()
     }
 
+    /// Returns the peers to which the instance `own` sends a digest in this round: all of them, or
+    /// [`PEERS_PER_ROUND_MAX`] of them in turn. Silent peers are left out of most rounds.
+    pub fn digest_targets(
+        &self,
+        now: Duration,
+        own: &InstanceName,
+        round: u64,
+    ) -> Vec<DigestTarget> {
+        let mut ranked = Vec::new();
+        for (name, peer) in &self.by_name {
+            let silent = peer
+                .last_digest
+                .is_none_or(|(received_at, _)| now.saturating_sub(received_at) > SILENT_AFTER);
+            if silent && !round.is_multiple_of(SILENT_ROUNDS) {
+                continue;
+            }
+            let echoed = peer.last_digest.map(|(_, sent)| sent);
+            ranked.push((name_hash(name), (peer.address, echoed)));
+        }
+        if ranked.len() > PEERS_PER_ROUND_MAX {
+            // The order by hash and a first peer that differs between senders spread the digests
+            // that a peer receives evenly over rounds and data centres, even if all instances
+            // started at the same time.
+            ranked.sort_unstable();
+            let first = (name_hash(own) as usize)
+                .wrapping_add((round as usize).wrapping_mul(PEERS_PER_ROUND_MAX))
+                % ranked.len();
+            ranked.rotate_left(first);
+            ranked.truncate(PEERS_PER_ROUND_MAX);
+        }
+        ranked.into_iter().map(|(_, target)| target).collect()
+    }
+
     /// Returns the number of known peers, including silent ones and excluding this instance.
     pub fn known_count(&self) -> usize {
         self.by_name.len()
--- a/tests/decisions/peers.rs
+++ b/tests/decisions/peers.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use ebonyspread::InstanceName;
+use ebonyspread::fleet::CENTRE_PROBE_AFTER;
+use ebonyspread::gossip::DIGEST_INTERVAL;
 use ebonyspread::peers::Peers;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -77,3 +79,56 @@
     let readers = peers.readers(NOW, &name(0), &"dc-a".into());
     assert!(readers.is_empty());
 }
+
+/// Rounds of digests that are played.
+const ROUNDS: u64 = 60;
+
+/// Returns the peers of instance `own` among `count` instances in three data centres, whose names
+/// begin with that of their data centre.
+fn peers_in_three_centres(own: u16, count: u16) -> Peers {
+    let mut peers = Peers::default();
+    for index in (0..count).filter(|index| *index != own) {
+        let (name, centre) = (name_in_centre(index, count), centre_of(index, count));
+        let centre = format!("dc-{centre}").into();
+        peers.record_digest(NOW, &name, address(index), &centre, NOW);
+    }
+    peers
+}
+
+fn centre_of(index: u16, count: u16) -> usize {
+    usize::from(index) * 3 / usize::from(count)
+}
+
+fn name_in_centre(index: u16, count: u16) -> InstanceName {
+    format!("entry-{}-{index}", centre_of(index, count)).into()
+}
+
+// All instances start at the same time, so that their rounds are in step.
+#[yare::parameterized(
+    small = { 30 },
+    medium = { 85 },
+    large = { 300 },
+)]
+fn data_centre_does_not_seem_silent_while_digests_rotate_over_the_peers(count: u16) {
+    let mut heard_in: Vec<[u64; 3]> = vec![[0; 3]; usize::from(count)];
+    let mut longest_gap = 0;
+    let peers: Vec<Peers> = (0..count)
+        .map(|own| peers_in_three_centres(own, count))
+        .collect();
+    for round in 0..ROUNDS {
+        for sender in 0..count {
+            let name = name_in_centre(sender, count);
+            let targets = peers[usize::from(sender)].digest_targets(NOW, &name, round);
+            for (target, _) in targets {
+                let receiver = usize::from(target.port() - 9_000);
+                let heard = &mut heard_in[receiver][centre_of(sender, count)];
+                longest_gap = longest_gap.max(round - *heard);
+                *heard = round;
+            }
+        }
+    }
+    let unheard = heard_in.iter().flatten().map(|heard| ROUNDS - 1 - heard);
+    let longest_gap = longest_gap.max(unheard.max().unwrap());
+    let silence = DIGEST_INTERVAL * longest_gap as u32;
+    assert!(silence < CENTRE_PROBE_AFTER, "{silence:?}");
+}
