Log denied retries, and the cause and server of interrupted streams

Cause: an interrupted stream left only its request id, time and reason in the log; a denied retry left nothing, so that an exhausted balance could not be told from a route's maximum of attempts or from a route whose streams are not resumed.

Ruled out: a line for each allowed retry, since the next `place` line shows it; a boolean beside the enum in RetryBudget, since each caller can ask for is_ok.

Change: RetryBudget::withdraw fails with the balance that refused (RetryDenied, a closed set with the values); `retry ... outcome=denied` lines; `finish outcome=broken-stream` with server, data centre, cause, retry, sends, events and idle_ms; counters retries_denied (by limit) and interrupted_streams (by cause). When a retry is allowed did not change.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -84,27 +84,37 @@
         *balance = (*balance + 1).min(BALANCE_MAX);
     }
 
-    /// Takes the cost of one retry from the balances after a failure at `server`. Returns false,
-    /// and takes nothing, if the instance's balance would fall below zero or that of the account or
-    /// server below `OVERDRAFT_LIMIT`. Returns true, and takes nothing, if the safeguard is
-    /// disabled.
-    pub fn withdraw(&mut self, account: &AccountName, server: &ServerName) -> bool {
+    /// Takes the cost of one retry from the balances after a failure at `server`. Fails with the
+    /// first balance that does not cover it, and takes nothing, if the instance's balance would
+    /// fall below zero or that of the account or server below `OVERDRAFT_LIMIT`. Succeeds, and
+    /// takes nothing, if the safeguard is disabled.
+    pub fn withdraw(
+        &mut self,
+        account: &AccountName,
+        server: &ServerName,
+    ) -> Result<(), RetryDenied> {
         let of_account = self.accounts.entry(account.clone()).or_default();
         let of_server = self.servers.entry(server.clone()).or_default();
         if is_disabled(Safeguard::RetryBudget) {
-            return true;
+            return Ok(());
         }
         let cost = self.settings.requests_per_retry;
-        if self.instance < cost
-            || *of_account - cost < OVERDRAFT_LIMIT
-            || *of_server - cost < OVERDRAFT_LIMIT
-        {
-            return false;
+        if self.instance < cost {
+            let balance = self.instance;
+            return Err(RetryDenied::Instance { balance, cost });
+        }
+        if *of_account - cost < OVERDRAFT_LIMIT {
+            let balance = *of_account;
+            return Err(RetryDenied::Account { balance, cost });
+        }
+        if *of_server - cost < OVERDRAFT_LIMIT {
+            let balance = *of_server;
+            return Err(RetryDenied::Service { balance, cost });
         }
         self.instance -= cost;
         *of_account -= cost;
         *of_server -= cost;
-        true
+        Ok(())
     }
 
     /// Removes the balances of accounts and servers that are no longer in the table, the operators'
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -395,7 +395,7 @@
             let fleet = self.serving.fleet.borrow();
             fleet.has_answered_since(since, &attempt.placed.server)
         };
-        let action = response_wait.decide(waited, server_answers, || self.withdraw_retry());
+        let action = response_wait.decide(waited, server_answers, || self.withdraw_retry().is_ok());
         if action == TimeoutAction::Retry && !server_answers {
             attempt.outcome = AttemptOutcome::Broken;
         }
@@ -485,21 +485,47 @@
     /// Withdraws a retry from the retry budget for another attempt. Returns false if the route
     /// allows no further attempt or the budget is exhausted.
     pub(crate) fn acquire_retry(&self) -> bool {
-        self.sends < self.route.attempts_max && self.withdraw_retry()
+        self.request_retry().is_ok()
+    }
+
+    /// Withdraws a retry as [`acquire_retry`](Self::acquire_retry) does; fails with the limit that
+    /// denied it.
+    pub(crate) fn request_retry(&self) -> Result<(), RetryDenied> {
+        let (sends, attempts_max) = (self.sends, self.route.attempts_max);
+        if sends >= attempts_max {
+            let denied = RetryDenied::Attempts {
+                attempts_max,
+                sends,
+            };
+            self.log_denied_retry(denied);
+            return Err(denied);
+        }
+        self.withdraw_retry()
     }
 
     /// Takes a retry from the budget, which limits retries to a fraction of the accepted calls.
-    /// Returns false if no retry is left for the instance, the account or the service.
-    fn withdraw_retry(&self) -> bool {
+    /// Fails if no retry is left for the instance, the account or the service.
+    fn withdraw_retry(&self) -> Result<(), RetryDenied> {
         let account = self.account.clone().unwrap_or_default();
         let mut budget = self.serving.retry_budget.borrow_mut();
         let withdrawn = budget.withdraw(&account, &self.service);
-        if withdrawn {
-            self.serving.metrics.retry(Failure::Broken);
+        match withdrawn {
+            Ok(()) => self.serving.metrics.retry(Failure::Broken),
+            Err(denied) => self.log_denied_retry(denied),
         }
         withdrawn
     }
 
+    fn log_denied_retry(&self, denied: RetryDenied) {
+        self.serving.metrics.retry_denied(denied);
+        let server = self.tried.last().map_or("", |server| server.as_str());
+        let account = self.account.as_ref().map_or("", |name| name.as_str());
+        warn!(
+            "retry request={} account={account} service={} server={server} outcome=denied {denied}",
+            self.call.request_id, self.service,
+        );
+    }
+
     /// Returns true if a server error of an idempotent call is to be retried on another server; the
     /// retry has then been withdrawn from the retry budget.
     fn acquire_response_retry(&self, head: &ResponseHead) -> bool {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -14,11 +14,13 @@
     call_ms: Histogram<f64>,
     control_bytes: Counter<u64>,
     first_token_ms: Histogram<f64>,
+    interrupted_streams: Counter<u64>,
     invariant_violations: Counter<u64>,
     outcomes: Counter<u64>,
     provider: SdkMeterProvider,
     registry: prometheus::Registry,
     retries: Counter<u64>,
+    retries_denied: Counter<u64>,
     tokens: Counter<u64>,
     tokens_recomputed: Counter<u64>,
 }
@@ -52,9 +54,11 @@
                     50.0, 100.0, 200.0, 400.0, 800.0, 1_200.0, 2_400.0, 4_800.0,
                 ])
                 .build(),
+            interrupted_streams: meter.u64_counter("interrupted_streams").build(),
             invariant_violations: meter.u64_counter("invariant_violations").build(),
             outcomes: meter.u64_counter("outcomes").build(),
             retries: meter.u64_counter("retries").build(),
+            retries_denied: meter.u64_counter("retries_denied").build(),
             tokens: meter.u64_counter("tokens").build(),
             tokens_recomputed: meter.u64_counter("tokens_recomputed").build(),
             provider,
@@ -83,6 +87,12 @@
             .record(elapsed.as_secs_f64() * 1_000.0, &[]);
     }
 
+    /// Counts an event stream that ended before its last event, by the cause of the interruption.
+    pub fn interrupted_stream(&self, cause: Interruption) {
+        self.interrupted_streams
+            .add(1, &[KeyValue::new("cause", cause.as_str())]);
+    }
+
     /// Counts a violation of the invariant with this name; each one is a fault in the program.
     pub fn invariant(&self, invariant: &'static str) {
         self.invariant_violations
@@ -109,6 +119,12 @@
         self.retries.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a retry that was denied, by the limit that denied it.
+    pub fn retry_denied(&self, denied: RetryDenied) {
+        self.retries_denied
+            .add(1, &[KeyValue::new("limit", denied.limit())]);
+    }
+
     /// Counts tokens that servers generated for callers.
     pub fn tokens(&self, count: u32) {
         self.tokens.add(u64::from(count), &[]);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -26,8 +26,19 @@
     centre: DataCentreName,
     ended: bool,
     events: SseParser,
+    /// Number of whole events that were forwarded to the caller.
+    events_forwarded: u64,
     exchange: Exchange,
+    /// Cause of the last interruption, for the log.
+    interruption: Interruption,
+    /// Time at which the last whole event arrived, at first the head of the response.
+    last_event_at: TokioInstant,
     last_event_id: Option<SmolStr>,
+    /// Whether a retry was allowed after the last interruption, or which limit denied it; `None` if
+    /// none was requested.
+    retry: Option<Result<(), RetryDenied>>,
+    /// Server that sent the stream until the last interruption.
+    server: ServerName,
     /// True once a stalled stream could not be moved to another server because the retry budget was
     /// exhausted; it then waits until the caller's deadline.
     waits_for_deadline: bool,
@@ -41,6 +52,7 @@
         attempt: Attempt,
         body: ServerResponseBody,
     ) -> LocalBoxStream<'static, Result<Bytes>> {
+        let server = attempt.placed.server.clone();
         let relay = Self {
             _in_flight: InFlightGuard::new(&exchange.serving),
             body,
@@ -48,8 +60,13 @@
             attempt: Some(attempt),
             ended: false,
             events: SseParser::default(),
+            events_forwarded: 0,
             exchange,
+            interruption: Interruption::Broken,
+            last_event_at: TokioInstant::now(),
             last_event_id: None,
+            retry: None,
+            server,
             waits_for_deadline: false,
         };
         Box::pin(futures_util::stream::unfold(relay, Self::next))
@@ -69,7 +86,8 @@
                 biased;
                 read = timeout_at(read_deadline, self.body.next()) => read,
                 () = wait_for_cut_off(&self.exchange.serving, &self.centre), if can_move => {
-                    match self.try_resume("data centre was cut off".to_owned()).await {
+                    let reason = "data centre was cut off".to_owned();
+                    match self.try_resume(Interruption::CutOff, reason).await {
                         Ok(()) => continue,
                         Err(error) => return Some(self.finish_broken(error).await),
                     }
@@ -78,27 +96,32 @@
             let chunk = match read {
                 Ok(Some(Ok(chunk))) => chunk,
                 Ok(None) => return self.finish_whole().await,
-                Ok(Some(Err(error))) => match self.try_resume(error.reason).await {
-                    Ok(()) => continue,
-                    Err(error) => return Some(self.finish_broken(error).await),
-                },
+                Ok(Some(Err(error))) => {
+                    match self.try_resume(Interruption::Broken, error.reason).await {
+                        Ok(()) => continue,
+                        Err(error) => return Some(self.finish_broken(error).await),
+                    }
+                }
                 Err(_) if read_deadline < self.exchange.deadline => {
                     // If the retry budget is exhausted, a slow stream is better than a failed one.
                     if !self.exchange.acquire_retry() {
                         self.waits_for_deadline = true;
                         continue;
                     }
-                    match self.resume("stream stalled".to_owned()).await {
+                    let reason = "stream stalled".to_owned();
+                    match self.resume(Interruption::Stalled, reason).await {
                         Ok(()) => continue,
                         Err(error) => return Some(self.finish_broken(error).await),
                     }
                 }
                 Err(_) => {
+                    self.set_interruption(Interruption::Deadline, None);
                     let error = self.exchange.timeout_error();
                     return Some(self.finish_broken(error).await);
                 }
             };
             if let Err(error) = self.events.push(&chunk) {
+                self.set_interruption(Interruption::Malformed, None);
                 return Some(self.finish_broken(error).await);
             }
         }
@@ -109,6 +132,8 @@
         let mut joined: Option<BytesMut> = None;
         let mut single: Option<Bytes> = None;
         while let Some(event) = self.events.next_event() {
+            self.events_forwarded += 1;
+            self.last_event_at = TokioInstant::now();
             if let Some(id) = parse_event_id(&event) {
                 self.last_event_id = Some(id.into());
             }
@@ -138,13 +163,17 @@
     }
 
     /// Resumes on another server if the stream is resumable and the retry budget allows it.
-    async fn try_resume(&mut self, reason: String) -> Result {
-        let resumable = self.exchange.route.call_kind.is_repeatable();
-        if !resumable || !self.exchange.acquire_retry() {
+    async fn try_resume(&mut self, cause: Interruption, reason: String) -> Result {
+        let retry = match self.exchange.route.call_kind.is_repeatable() {
+            true => self.exchange.request_retry(),
+            false => Err(RetryDenied::Route),
+        };
+        if let Err(denied) = retry {
+            self.set_interruption(cause, Some(Err(denied)));
             self.abandon_server(&reason);
             return Err(self.exchange.lost_error(reason));
         }
-        self.resume(reason).await
+        self.resume(cause, reason).await
     }
 
     fn abandon_server(&mut self, reason: &str) {
@@ -161,12 +190,14 @@
 
     /// Resumes on another server after the last forwarded event. Whoever calls this must have
     /// withdrawn the retry from the retry budget before.
-    async fn resume(&mut self, reason: String) -> Result {
+    async fn resume(&mut self, cause: Interruption, reason: String) -> Result {
+        self.set_interruption(cause, Some(Ok(())));
         self.abandon_server(&reason);
         let last_event_id = self.last_event_id.clone();
         match self.exchange.run_attempts(last_event_id.as_deref()).await? {
             AttemptResponse::Stream(attempt, response) => {
                 self.centre = attempt.placed.data_centre.clone();
+                self.server = attempt.placed.server.clone();
                 self.attempt = Some(attempt);
                 self.body = response.body;
                 Ok(())
@@ -177,6 +208,7 @@
 
     async fn finish_whole(mut self) -> Option<(Result<Bytes>, Self)> {
         if self.events.has_partial() {
+            self.set_interruption(Interruption::PartialEvent, None);
             let error = self
                 .exchange
                 .lost_error("stream ended inside an event".to_owned());
@@ -194,11 +226,7 @@
     async fn finish_broken(mut self, error: Error) -> (Result<Bytes>, Self) {
         // The connection is closed as soon as the error is polled; write pending events first.
         tokio::time::sleep(FLUSH_TIME).await;
-        warn!(
-            "finish request={} outcome=broken-stream ms={} reason=\"{error}\"",
-            self.exchange.call.request_id,
-            self.exchange.received_at.elapsed().as_millis(),
-        );
+        self.log_interruption(&error);
         let code = error.status().1;
         self.exchange
             .serving
@@ -207,4 +235,34 @@
         self.ended = true;
         (Err(error), self)
     }
+
+    fn set_interruption(&mut self, cause: Interruption, retry: Option<Result<(), RetryDenied>>) {
+        self.interruption = cause;
+        self.retry = retry;
+    }
+
+    fn log_interruption(&self, error: &Error) {
+        let exchange = &self.exchange;
+        exchange
+            .serving
+            .metrics
+            .interrupted_stream(self.interruption);
+        let retry = match self.retry {
+            None => "none",
+            Some(Ok(())) => "allowed",
+            Some(Err(denied)) => denied.limit(),
+        };
+        warn!(
+            "finish request={} outcome=broken-stream status=200 server={} data_centre={} \
+             cause={} retry={retry} sends={} events={} idle_ms={} ms={} reason=\"{error}\"",
+            exchange.call.request_id,
+            self.server,
+            self.centre,
+            self.interruption.as_str(),
+            exchange.sends,
+            self.events_forwarded,
+            self.last_event_at.elapsed().as_millis(),
+            exchange.received_at.elapsed().as_millis(),
+        );
+    }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -331,7 +331,13 @@
             Failure::Broken | Failure::Status => true,
             Failure::Connect | Failure::Leaving => false,
         };
-        if costs_budget && !self.budget.withdraw(&request.account, &failed.server.name) {
+        if costs_budget
+            && let Err(denied) = self.budget.withdraw(&request.account, &failed.server.name)
+        {
+            warn!(
+                "retry account={} server={} outcome=denied {denied}",
+                request.account, failed.server.name
+            );
             return Err(Error::RetryBudgetSpent {
                 subject: request.subject.clone(),
                 retry_after_ms: OVERLOADED_RETRY_AFTER_MS,
