Log calls and connections that end without an answer, and cut-offs of data centres

Cause: a call that was dropped with its caller's connection left no line, so that a caller who had left could not be told from a connection that this instance closed; the result of serving a connection was ignored; a stop gave only the number of calls that it cut; the cut-off of a data centre did not say which servers were probed.

Ruled out: telling who closed a connection from the result of actix-http alone, which is Ok for both; a line for every connection that ends with an error, since callers reset idle connections (a counter has them).

Change: CallTrace and ConnectionTrace hold what is logged; CallerConnection counts bytes and notes the end of what the caller sends. New lines: `finish outcome=disconnected` (or `stopped`), `connection ... unanswered=`, `stop ... cut` (at most 20, then the count); the `lost` line of a data centre has silent_ms and probed. Counters centre_cut_offs, connection_errors, disconnected_calls. No decision about routes, retries or the stop changed.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -13,16 +13,16 @@
 /// precedence.
 const DEFAULT_CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Reads and admits a request. `request_id` is set as soon as the head has been parsed, so that
-/// later errors can be reported under it.
+/// Reads and admits a request. The request id of `trace` is set as soon as the head has been
+/// parsed, so that later errors can be reported under it.
 pub(crate) async fn accept_call(
     serving: &Rc<ServingState>,
     mut request: Request,
     received_at: TokioInstant,
-    request_id: &mut RequestId,
+    trace: &Rc<CallTrace>,
 ) -> Result<Exchange> {
     let call = serving.dialect.parse_request(request.head())?;
-    *request_id = call.request_id.clone();
+    trace.request_id.get_or_init(|| call.request_id.clone());
     let body = read_body(&mut request, body_limit_bytes(serving)).await?;
     let now = boot_time();
     let policy = fresh_policy(serving, now)?;
@@ -68,6 +68,7 @@
         sends: 0,
         service,
         serving: serving.clone(),
+        trace: trace.clone(),
         tried: SmallVec::new(),
         units,
     })
--- a/src/centre_watch.rs
+++ b/src/centre_watch.rs
@@ -29,7 +29,7 @@
         let silent = serving.fleet.borrow().centres_to_probe(boot_time(), round);
         for (centre, addresses) in silent {
             let reachable = any_reachable(&addresses).await;
-            apply_probe_result(&serving, &centre, reachable);
+            apply_probe_result(&serving, &centre, &addresses, reachable);
         }
     }
 }
@@ -60,8 +60,15 @@
     false
 }
 
-fn apply_probe_result(serving: &ServingState, centre: &DataCentreName, reachable: bool) {
+fn apply_probe_result(
+    serving: &ServingState,
+    centre: &DataCentreName,
+    addresses: &[SocketAddr],
+    reachable: bool,
+) {
     let now = boot_time();
+    let silence = serving.fleet.borrow().centre_silence(now, centre);
+    let silent_ms = silence.map_or("unknown".to_owned(), |time| time.as_millis().to_string());
     let changed = match reachable {
         true => serving
             .fleet
@@ -73,8 +80,16 @@
         return;
     }
     match reachable {
-        true => info!("dependency name=data-centre id={centre} regained"),
-        false => warn!("dependency name=data-centre id={centre} lost reason=\"no connection\""),
+        true => info!("dependency name=data-centre id={centre} regained silent_ms={silent_ms}"),
+        false => {
+            serving.metrics.centre_cut_off();
+            let probed: SmallVec<[String; 2]> = addresses.iter().map(ToString::to_string).collect();
+            let probed = probed.join(",");
+            warn!(
+                "dependency name=data-centre id={centre} lost silent_ms={silent_ms} \
+                 probed={probed} reason=\"no connection\""
+            );
+        }
     }
     serving.cut_off_changes.send_modify(|count| *count += 1);
 }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -42,14 +42,21 @@
 /// Admits a caller's request and runs it. An error is returned as a response, too. While the
 /// instance drains (finishes its calls before it stops), the response also closes the caller's
 /// connection.
-pub async fn serve_call(serving: Rc<ServingState>, request: Request) -> Response<BoxBody> {
+pub(crate) async fn serve_call(
+    serving: Rc<ServingState>,
+    connection: Rc<ConnectionTrace>,
+    request: Request,
+) -> Response<BoxBody> {
     let received_at = TokioInstant::now();
     let _in_flight = InFlightGuard::new(&serving);
-    let mut request_id = RequestId::default();
-    let accepted = accept_call(&serving, request, received_at, &mut request_id).await;
+    let trace = CallTrace::start(&serving, connection);
+    let accepted = accept_call(&serving, request, received_at, &trace).await;
     let mut response = match accepted {
         Ok(call) => call.run().await,
-        Err(error) => refuse(&serving, &request_id, received_at, &error),
+        Err(error) => {
+            trace.end(true);
+            refuse(&serving, trace.request_id(), received_at, &error)
+        }
     };
     if serving.draining.get() {
         response
@@ -97,6 +104,7 @@
     pub(crate) sends: u32,
     pub(crate) service: ServiceName,
     pub(crate) serving: Rc<ServingState>,
+    pub(crate) trace: Rc<CallTrace>,
     pub(crate) tried: SmallVec<[ServerName; 4]>,
     pub(crate) units: f64,
 }
@@ -171,6 +179,7 @@
                     let mut limits = self.serving.limits.borrow_mut();
                     limits.refund(boot_time(), account, self.units);
                 }
+                self.trace.end(true);
                 refuse(
                     &self.serving,
                     &self.call.request_id,
@@ -245,6 +254,7 @@
             serving: self.serving.clone(),
         };
         self.tried.push(attempt.placed.server.clone());
+        self.trace.begin_attempt(&attempt.placed.server);
         let sent_at = TokioInstant::now();
         let response = match self.send(&mut attempt, last_event_id).await {
             SendResult::Answered(response) => *response,
@@ -591,6 +601,7 @@
     pub(crate) fn log_finish(&self, outcome: &str, status: u16, server: &str) {
         self.serving.metrics.call(self.received_at.elapsed());
         self.serving.metrics.outcome(Outcome::Whole, "ok");
+        self.trace.end(true);
         info!(
             "finish request={} outcome={outcome} status={status} server={server} ms={}",
             self.call.request_id,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -318,6 +318,12 @@
         !std::mem::replace(&mut state.unreachable, true)
     }
 
+    /// Returns the time since anything was received from a data centre; `None` if nothing ever was.
+    pub fn centre_silence(&self, now: Duration, centre: &DataCentreName) -> Option<Duration> {
+        let heard_at = self.centres.get(centre)?.heard_at;
+        (heard_at > Duration::ZERO).then(|| now.saturating_sub(heard_at))
+    }
+
     /// Returns true if the last probe of a data centre failed and no datagram has arrived from it
     /// since; false for a data centre that was never probed.
     pub fn is_centre_unreachable(&self, centre: &DataCentreName) -> bool {
--- a/src/front.rs
+++ b/src/front.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use actix_http::HttpServiceBuilder;
@@ -10,6 +11,7 @@
 use actix_http::Request;
 use actix_http::Response;
 use actix_http::body::BoxBody;
+use actix_http::error::DispatchError;
 use actix_service::Service;
 use actix_service::ServiceFactory;
 use actix_service::fn_service;
@@ -58,11 +60,16 @@
     accepting: CancellationToken,
     closing: CancellationToken,
 ) {
+    let state = serving.clone();
     let service = fn_service(move |request: Request| {
-        let serving = serving.clone();
+        let serving = state.clone();
         async move {
+            let connection = request.conn_data::<Rc<ConnectionTrace>>().cloned();
             let response = match kind {
-                FrontKind::Callers => serve_call(serving, request).await,
+                FrontKind::Callers => {
+                    let connection = connection.unwrap_or_else(|| Rc::new(untraced(&request)));
+                    serve_call(serving, connection, request).await
+                }
                 FrontKind::Status => serve_status(&serving, &request),
             };
             Ok::<Response<BoxBody>, actix_http::Error>(response)
@@ -73,13 +80,16 @@
         .client_request_timeout(Duration::ZERO)
         .client_disconnect_timeout(Duration::from_secs(1))
         .h1_allow_half_closed(false)
+        .on_connect_ext(|connection: &CallerConnection, data| {
+            data.insert(connection.trace.clone());
+        })
         .graceful_shutdown_signal(move || closing.clone().cancelled_owned())
         .h1(service);
     let Ok(handler) = factory.new_service(()).await else {
         error!("start front={kind:?} failed; restart the instance");
         return;
     };
-    loop {
+    for number in 0.. {
         let accepted = tokio::select! {
             () = accepting.cancelled() => return,
             accepted = listener.accept() => accepted,
@@ -95,8 +105,66 @@
         // Without TCP_NODELAY, stream events would wait for acknowledgements. A failure only adds
         // delay.
         let _ = stream.set_nodelay(true);
-        actix_rt::spawn(handler.call((stream, Some(peer))));
+        let trace = Rc::new(ConnectionTrace::new(peer));
+        let connection = CallerConnection::new(stream, trace.clone());
+        let serving_connection = handler.call((connection, Some(peer)));
+        if kind == FrontKind::Status {
+            actix_rt::spawn(serving_connection);
+            continue;
+        }
+        let serving = serving.clone();
+        let listed = Rc::downgrade(&trace);
+        serving.callers.borrow_mut().insert(number, listed);
+        actix_rt::spawn(async move {
+            let mut serving_connection = pin!(serving_connection);
+            let result = serving_connection.as_mut().await;
+            // A call in progress is dropped with the connection, so this line comes first.
+            log_connection_end(&serving, &trace, result);
+            serving.callers.borrow_mut().remove(&number);
+        });
+    }
+}
+
+/// Counts a connection that ended with an error, and logs one that ended before its caller was
+/// answered.
+fn log_connection_end(
+    serving: &ServingState,
+    trace: &ConnectionTrace,
+    result: Result<(), DispatchError>,
+) {
+    if let Err(error) = &result {
+        serving.metrics.connection_error(error_kind(error));
     }
+    let Some(unanswered) = trace.unanswered() else {
+        return;
+    };
+    let reason = result
+        .err()
+        .map_or(String::new(), |error| error.to_string());
+    warn!(
+        "connection peer={} {unanswered} closed_by={} draining={} reason=\"{}\"",
+        trace.peer,
+        trace.closed_by().as_str(),
+        serving.draining.get(),
+        shorten(&reason),
+    );
+}
+
+fn error_kind(error: &DispatchError) -> &'static str {
+    match error {
+        DispatchError::Body(_) => "response-body",
+        DispatchError::DisconnectTimeout => "disconnect-timeout",
+        DispatchError::HandlerDroppedPayload => "request-body-dropped",
+        DispatchError::Io(_) => "io",
+        DispatchError::Parse(_) => "parse",
+        _ => "other",
+    }
+}
+
+/// Trace of a request that came without one; its connection is not traced.
+fn untraced(request: &Request) -> ConnectionTrace {
+    let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
+    ConnectionTrace::new(request.peer_addr().unwrap_or(unknown))
 }
 
 fn serve_status(serving: &ServingState, request: &Request) -> Response<BoxBody> {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -12,7 +12,10 @@
 #[derive(Clone)]
 pub struct Metrics {
     call_ms: Histogram<f64>,
+    centre_cut_offs: Counter<u64>,
+    connection_errors: Counter<u64>,
     control_bytes: Counter<u64>,
+    disconnected_calls: Counter<u64>,
     first_token_ms: Histogram<f64>,
     interrupted_streams: Counter<u64>,
     invariant_violations: Counter<u64>,
@@ -47,7 +50,10 @@
                     10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0, 6_400.0,
                 ])
                 .build(),
+            centre_cut_offs: meter.u64_counter("centre_cut_offs").build(),
+            connection_errors: meter.u64_counter("connection_errors").build(),
             control_bytes: meter.u64_counter("control_bytes").build(),
+            disconnected_calls: meter.u64_counter("disconnected_calls").build(),
             first_token_ms: meter
                 .f64_histogram("first_token_ms")
                 .with_boundaries(vec![
@@ -71,6 +77,17 @@
         self.call_ms.record(elapsed.as_secs_f64() * 1_000.0, &[]);
     }
 
+    /// Counts a data centre that was marked as cut off.
+    pub fn centre_cut_off(&self) {
+        self.centre_cut_offs.add(1, &[]);
+    }
+
+    /// Counts a caller's connection that ended with an error, by the kind of the error.
+    pub fn connection_error(&self, kind: &'static str) {
+        self.connection_errors
+            .add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts bytes of traffic other than calls, by message kind and by direction, `sent` or
     /// `received`.
     pub fn control(&self, kind: &'static str, direction: &'static str, bytes: usize) {
@@ -81,6 +98,13 @@
         self.control_bytes.add(bytes as u64, &labels);
     }
 
+    /// Counts a call that was dropped because its caller's connection ended, by the side that closed
+    /// the connection.
+    pub fn disconnected_call(&self, closed_by: ClosedBy) {
+        self.disconnected_calls
+            .add(1, &[KeyValue::new("closed_by", closed_by.as_str())]);
+    }
+
     /// Records the time from a call's arrival or start to the first token or event of its response.
     pub fn first_token(&self, elapsed: Duration) {
         self.first_token_ms
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -26,13 +26,9 @@
     centre: DataCentreName,
     ended: bool,
     events: SseParser,
-    /// Number of whole events that were forwarded to the caller.
-    events_forwarded: u64,
     exchange: Exchange,
     /// Cause of the last interruption, for the log.
     interruption: Interruption,
-    /// Time at which the last whole event arrived, at first the head of the response.
-    last_event_at: TokioInstant,
     last_event_id: Option<SmolStr>,
     /// Whether a retry was allowed after the last interruption, or which limit denied it; `None` if
     /// none was requested.
@@ -53,6 +49,7 @@
         body: ServerResponseBody,
     ) -> LocalBoxStream<'static, Result<Bytes>> {
         let server = attempt.placed.server.clone();
+        exchange.trace.stage.set(CallStage::Stream);
         let relay = Self {
             _in_flight: InFlightGuard::new(&exchange.serving),
             body,
@@ -60,10 +57,8 @@
             attempt: Some(attempt),
             ended: false,
             events: SseParser::default(),
-            events_forwarded: 0,
             exchange,
             interruption: Interruption::Broken,
-            last_event_at: TokioInstant::now(),
             last_event_id: None,
             retry: None,
             server,
@@ -132,8 +127,7 @@
         let mut joined: Option<BytesMut> = None;
         let mut single: Option<Bytes> = None;
         while let Some(event) = self.events.next_event() {
-            self.events_forwarded += 1;
-            self.last_event_at = TokioInstant::now();
+            self.exchange.trace.count_event();
             if let Some(id) = parse_event_id(&event) {
                 self.last_event_id = Some(id.into());
             }
@@ -198,6 +192,7 @@
             AttemptResponse::Stream(attempt, response) => {
                 self.centre = attempt.placed.data_centre.clone();
                 self.server = attempt.placed.server.clone();
+                self.exchange.trace.stage.set(CallStage::Stream);
                 self.attempt = Some(attempt);
                 self.body = response.body;
                 Ok(())
@@ -226,6 +221,7 @@
     async fn finish_broken(mut self, error: Error) -> (Result<Bytes>, Self) {
         // The connection is closed as soon as the error is polled; write pending events first.
         tokio::time::sleep(FLUSH_TIME).await;
+        self.exchange.trace.end(false);
         self.log_interruption(&error);
         let code = error.status().1;
         self.exchange
@@ -260,8 +256,8 @@
             self.centre,
             self.interruption.as_str(),
             exchange.sends,
-            self.events_forwarded,
-            self.last_event_at.elapsed().as_millis(),
+            exchange.trace.events_forwarded.get(),
+            exchange.trace.last_event_at.get().elapsed().as_millis(),
             exchange.received_at.elapsed().as_millis(),
         );
     }
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -12,6 +12,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::rc::Weak;
 
 use tokio::sync::watch;
 
@@ -61,6 +62,8 @@
     accepted_rate: RefCell<DecayingRate>,
     /// Idle connections to backend servers, shared by all calls.
     pub connections: Rc<ConnectionPool>,
+    /// Open connections of callers, by a number in the order of their acceptance; for the log.
+    pub(crate) callers: RefCell<BTreeMap<u64, Weak<ConnectionTrace>>>,
     /// Counts how often a data centre became unreachable or reachable again; wakes the tasks that
     /// wait for such a change.
     pub cut_off_changes: watch::Sender<u64>,
@@ -103,6 +106,8 @@
     pub settings: ServingSettings,
     /// Distributes calls over the services of a route by their weights.
     pub splitter: RefCell<WeightedSplitter>,
+    /// True once a stop no longer waits for calls: those that end from now on are cut by it.
+    pub stopped: Cell<bool>,
     /// Counts of calls that began to run, by usage window and account.
     pub usage: RefCell<UsageCounter>,
     /// Estimate of the time since 1970, corrected by the clocks of the peers.
@@ -121,6 +126,7 @@
         };
         Self {
             accepted_rate: RefCell::default(),
+            callers: RefCell::default(),
             connections: Rc::default(),
             cut_off_changes: watch::Sender::new(0),
             dialect,
@@ -140,6 +146,7 @@
             retry_budget: RefCell::default(),
             settings,
             splitter: RefCell::new(WeightedSplitter::new(seed)),
+            stopped: Cell::new(false),
             usage: RefCell::new(UsageCounter::new(boot_time())),
             wall_clock: RefCell::new(WallClock::new(boot_time(), unix)),
         }
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -21,6 +21,9 @@
 /// Maximum time for removing the instance's own address from the log.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Maximum number of lines that name the calls that a stop cuts.
+const CUT_LINES_MAX: u32 = 20;
+
 /// Time for the logger to write its last lines before the process exits.
 const LOG_FLUSH_DELAY: Duration = Duration::from_millis(50);
 
@@ -200,6 +203,8 @@
     while serving.in_flight.get() > 0 && began.elapsed() < end {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    serving.stopped.set(true);
+    log_unanswered(serving);
     info!(
         "stop instance={} done in_flight={} ms={}",
         serving.settings.instance,
@@ -208,6 +213,29 @@
     );
 }
 
+/// Logs the connections whose callers are not answered although the stop ends, at most
+/// [`CUT_LINES_MAX`] of them, and then the number of all.
+fn log_unanswered(serving: &ServingState) {
+    let instance = &serving.settings.instance;
+    let mut count = 0;
+    for connection in serving.callers.borrow().values() {
+        let Some(connection) = connection.upgrade() else {
+            continue;
+        };
+        let Some(unanswered) = connection.unanswered() else {
+            continue;
+        };
+        count += 1;
+        if count <= CUT_LINES_MAX {
+            let peer = connection.peer;
+            warn!("stop instance={instance} cut {unanswered} peer={peer}");
+        }
+    }
+    if count > 0 {
+        warn!("stop instance={instance} cut_connections={count}");
+    }
+}
+
 fn follow_policies(
     serving: &Rc<ServingState>,
     follower: TopicFollower,
