--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -45,14 +45,21 @@
 /// Admits a caller's request and runs it. An error is returned as a response, too. While the
 /// instance drains (finishes its calls before it stops), the response also closes the caller's
 /// connection.
-pub async fn serve_call(serving: Rc<ServingState>, request: Request) -> Response<BoxBody> {
+pub(crate) async fn serve_call(
+    serving: Rc<ServingState>,
+    connection: Rc<ConnectionTrace>,
+    request: Request,
+) -> Response<BoxBody> {
     let received_at = TokioInstant::now();
     let _in_flight = InFlightGuard::new(&serving);
-    let mut request_id = RequestId::default();
-    let accepted = accept_call(&serving, request, received_at, &mut request_id).await;
+    let trace = CallTrace::start(&serving, connection);
+    let accepted = accept_call(&serving, request, received_at, &trace).await;
     let mut response = match accepted {
         Ok(call) => call.run().await,
-        Err(error) => refuse(&serving, &request_id, received_at, &error),
+        Err(error) => {
+            trace.end(true);
+            refuse(&serving, trace.request_id(), received_at, &error)
+        }
     };
     if serving.draining.get() {
         response
@@ -100,6 +107,7 @@
     pub(crate) sends: u32,
     pub(crate) service: ServiceName,
     pub(crate) serving: Rc<ServingState>,
+    pub(crate) trace: Rc<CallTrace>,
     pub(crate) tried: SmallVec<[ServerName; 4]>,
     pub(crate) units: f64,
 }
@@ -173,6 +181,7 @@
                     let mut limits = self.serving.limits.borrow_mut();
                     limits.refund(boot_time(), account, self.units);
                 }
+                self.trace.end(true);
                 refuse(
                     &self.serving,
                     &self.call.request_id,
@@ -247,6 +256,7 @@
             serving: self.serving.clone(),
         };
         self.tried.push(attempt.placed.server.clone());
+        self.trace.begin_attempt(&attempt.placed.server);
         let sent_at = TokioInstant::now();
         let response = match self.send(&mut attempt, last_event_id).await {
             SendResult::Answered(response) => *response,
@@ -489,7 +499,22 @@
     /// Withdraws a retry from the retry budget for another attempt. Returns false if the route
     /// allows no further attempt or the budget is exhausted.
     pub(crate) fn acquire_retry(&self) -> bool {
-        self.sends < self.route.attempts_max && self.withdraw_retry()
+        self.request_retry().is_ok()
+    }
+
+    /// Withdraws a retry as [`acquire_retry`](Self::acquire_retry) does; fails with the limit that
+    /// denied it.
+    pub(crate) fn request_retry(&self) -> Result<(), RetryDenied> {
+        let (sends, attempts_max) = (self.sends, self.route.attempts_max);
+        if sends >= attempts_max {
+            let denied = RetryDenied::Attempts {
+                attempts_max,
+                sends,
+            };
+            self.log_denied_retry(denied);
+            return Err(denied);
+        }
+        self.withdraw_retry()
     }
 
     /// Withdraws a retry for moving a call away from a server that may still be working on it.
@@ -508,21 +533,36 @@
             let fleet = self.serving.fleet.borrow();
             fleet.has_healthy_server(boot_time(), &query)
         };
-        can_place && self.acquire_retry()
+        if !can_place {
+            self.log_denied_retry(RetryDenied::NoServer);
+            return false;
+        }
+        self.acquire_retry()
     }
 
     /// Takes a retry from the budget, which limits retries to a fraction of the accepted calls.
-    /// Returns false if no retry is left for the instance, the account or the service.
-    fn withdraw_retry(&self) -> bool {
+    /// Fails if no retry is left for the instance, the account or the service.
+    fn withdraw_retry(&self) -> Result<(), RetryDenied> {
         let account = self.account.clone().unwrap_or_default();
         let mut budget = self.serving.retry_budget.borrow_mut();
         let withdrawn = budget.withdraw(&account, &self.service);
-        if withdrawn {
-            self.serving.metrics.retry(Failure::Broken);
+        match withdrawn {
+            Ok(()) => self.serving.metrics.retry(Failure::Broken),
+            Err(denied) => self.log_denied_retry(denied),
         }
         withdrawn
     }
 
+    fn log_denied_retry(&self, denied: RetryDenied) {
+        self.serving.metrics.retry_denied(denied);
+        let server = self.tried.last().map_or("", |server| server.as_str());
+        let account = self.account.as_ref().map_or("", |name| name.as_str());
+        warn!(
+            "retry request={} account={account} service={} server={server} outcome=denied {denied}",
+            self.call.request_id, self.service,
+        );
+    }
+
     /// Returns true if a server error of an idempotent call is to be retried on another server; the
     /// retry has then been withdrawn from the retry budget.
     fn acquire_response_retry(&self, head: &ResponseHead) -> bool {
@@ -588,6 +628,7 @@
     pub(crate) fn log_finish(&self, outcome: &str, status: u16, server: &str) {
         self.serving.metrics.call(self.received_at.elapsed());
         self.serving.metrics.outcome(Outcome::Whole, "ok");
+        self.trace.end(true);
         info!(
             "finish request={} outcome={outcome} status={status} server={server} ms={}",
             self.call.request_id,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -30,7 +30,14 @@
     /// True once the data centre of the server seemed cut off and the stream could not be moved to
     /// another server; it then waits for the server.
     ignores_cut_off: bool,
+    /// Cause of the last interruption, for the log.
+    interruption: Interruption,
     last_event_id: Option<SmolStr>,
+    /// Whether a retry was allowed after the last interruption, or which limit denied it; `None` if
+    /// none was requested.
+    retry: Option<Result<(), RetryDenied>>,
+    /// Server that sent the stream until the last interruption.
+    server: ServerName,
     /// True once a stalled stream could not be moved to another server; it then waits until the
     /// caller's deadline.
     waits_for_deadline: bool,
@@ -44,6 +51,8 @@
         attempt: Attempt,
         body: ServerResponseBody,
     ) -> LocalBoxStream<'static, Result<Bytes>> {
+        let server = attempt.placed.server.clone();
+        exchange.trace.stage.set(CallStage::Stream);
         let relay = Self {
             _in_flight: InFlightGuard::new(&exchange.serving),
             body,
@@ -53,7 +62,10 @@
             events: SseParser::default(),
             exchange,
             ignores_cut_off: false,
+            interruption: Interruption::Broken,
             last_event_id: None,
+            retry: None,
+            server,
             waits_for_deadline: false,
         };
         Box::pin(futures_util::stream::unfold(relay, Self::next))
@@ -78,7 +90,8 @@
                         self.ignores_cut_off = true;
                         continue;
                     }
-                    match self.resume(CUT_OFF_REASON.to_owned()).await {
+                    let reason = CUT_OFF_REASON.to_owned();
+                    match self.resume(Interruption::CutOff, reason).await {
                         Ok(()) => continue,
                         Err(error) => return Some(self.finish_broken(error).await),
                     }
@@ -87,26 +100,31 @@
             let chunk = match read {
                 Ok(Some(Ok(chunk))) => chunk,
                 Ok(None) => return self.finish_whole().await,
-                Ok(Some(Err(error))) => match self.try_resume(error.reason).await {
-                    Ok(()) => continue,
-                    Err(error) => return Some(self.finish_broken(error).await),
-                },
+                Ok(Some(Err(error))) => {
+                    match self.try_resume(Interruption::Broken, error.reason).await {
+                        Ok(()) => continue,
+                        Err(error) => return Some(self.finish_broken(error).await),
+                    }
+                }
                 Err(_) if read_deadline < self.exchange.deadline => {
                     if !self.exchange.acquire_move() {
                         self.waits_for_deadline = true;
                         continue;
                     }
-                    match self.resume("stream stalled".to_owned()).await {
+                    let reason = "stream stalled".to_owned();
+                    match self.resume(Interruption::Stalled, reason).await {
                         Ok(()) => continue,
                         Err(error) => return Some(self.finish_broken(error).await),
                     }
                 }
                 Err(_) => {
+                    self.set_interruption(Interruption::Deadline, None);
                     let error = self.exchange.timeout_error();
                     return Some(self.finish_broken(error).await);
                 }
             };
             if let Err(error) = self.events.push(&chunk) {
+                self.set_interruption(Interruption::Malformed, None);
                 return Some(self.finish_broken(error).await);
             }
         }
@@ -117,6 +135,7 @@
         let mut joined: Option<BytesMut> = None;
         let mut single: Option<Bytes> = None;
         while let Some(event) = self.events.next_event() {
+            self.exchange.trace.count_event();
             if let Some(id) = parse_event_id(&event) {
                 self.last_event_id = Some(id.into());
             }
@@ -146,13 +165,17 @@
     }
 
     /// Resumes on another server if the stream is resumable and the retry budget allows it.
-    async fn try_resume(&mut self, reason: String) -> Result {
-        let resumable = self.exchange.route.call_kind.is_repeatable();
-        if !resumable || !self.exchange.acquire_retry() {
+    async fn try_resume(&mut self, cause: Interruption, reason: String) -> Result {
+        let retry = match self.exchange.route.call_kind.is_repeatable() {
+            true => self.exchange.request_retry(),
+            false => Err(RetryDenied::Route),
+        };
+        if let Err(denied) = retry {
+            self.set_interruption(cause, Some(Err(denied)));
             self.abandon_server(&reason);
             return Err(self.exchange.lost_error(reason));
         }
-        self.resume(reason).await
+        self.resume(cause, reason).await
     }
 
     fn abandon_server(&mut self, reason: &str) {
@@ -169,12 +192,15 @@
 
     /// Resumes on another server after the last forwarded event. Whoever calls this must have
     /// withdrawn the retry from the retry budget before.
-    async fn resume(&mut self, reason: String) -> Result {
+    async fn resume(&mut self, cause: Interruption, reason: String) -> Result {
+        self.set_interruption(cause, Some(Ok(())));
         self.abandon_server(&reason);
         let last_event_id = self.last_event_id.clone();
         match self.exchange.run_attempts(last_event_id.as_deref()).await? {
             AttemptResponse::Stream(attempt, response) => {
                 self.centre = attempt.placed.data_centre.clone();
+                self.server = attempt.placed.server.clone();
+                self.exchange.trace.stage.set(CallStage::Stream);
                 self.attempt = Some(attempt);
                 self.body = response.body;
                 self.ignores_cut_off = false;
@@ -187,6 +213,7 @@
 
     async fn finish_whole(mut self) -> Option<(Result<Bytes>, Self)> {
         if self.events.has_partial() {
+            self.set_interruption(Interruption::PartialEvent, None);
             let error = self
                 .exchange
                 .lost_error("stream ended inside an event".to_owned());
@@ -204,11 +231,8 @@
     async fn finish_broken(mut self, error: Error) -> (Result<Bytes>, Self) {
         // The connection is closed as soon as the error is polled; write pending events first.
         tokio::time::sleep(FLUSH_TIME).await;
-        warn!(
-            "finish request={} outcome=broken-stream ms={} reason=\"{error}\"",
-            self.exchange.call.request_id,
-            self.exchange.received_at.elapsed().as_millis(),
-        );
+        self.exchange.trace.end(false);
+        self.log_interruption(&error);
         let code = error.status().1;
         self.exchange
             .serving
@@ -217,4 +241,34 @@
         self.ended = true;
         (Err(error), self)
     }
+
+    fn set_interruption(&mut self, cause: Interruption, retry: Option<Result<(), RetryDenied>>) {
+        self.interruption = cause;
+        self.retry = retry;
+    }
+
+    fn log_interruption(&self, error: &Error) {
+        let exchange = &self.exchange;
+        exchange
+            .serving
+            .metrics
+            .interrupted_stream(self.interruption);
+        let retry = match self.retry {
+            None => "none",
+            Some(Ok(())) => "allowed",
+            Some(Err(denied)) => denied.limit(),
+        };
+        warn!(
+            "finish request={} outcome=broken-stream status=200 server={} data_centre={} \
+             cause={} retry={retry} sends={} events={} idle_ms={} ms={} reason=\"{error}\"",
+            exchange.call.request_id,
+            self.server,
+            self.centre,
+            self.interruption.as_str(),
+            exchange.sends,
+            exchange.trace.events_forwarded.get(),
+            exchange.trace.last_event_at.get().elapsed().as_millis(),
+            exchange.received_at.elapsed().as_millis(),
+        );
+    }
 }
