Take a data centre for cut off only after two probes of its servers and instances

Cause: one probe of two registered servers decided. Servers that the platform has reclaimed keep their records until their heartbeats have been missed, and while the records of a third of a data centre were stale, a probe that chose two of them declared the whole data centre cut off: in at 0.29 s on three instances, 0.12 s after 19 records of ended servers had been removed. Its instances and other servers answered all the while, and the answers did not count.

A probe now also opens connections to two live instances of the data centre, all at once; two probes in a row have to fail; and every head of an answer and every part of a stream shows that its data centre is reachable.

Tests: probe_of_ended_servers_does_not_cut_off_a_data_centre, data_centre_whose_servers_answer_is_not_probed (record_answer did not count before), probe_of_a_data_centre_includes_its_live_instances.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -28,6 +28,10 @@
 /// A data centre from which nothing was received for this long is probed.
 pub const CENTRE_PROBE_AFTER: Duration = Duration::from_millis(700);
 
+/// Consecutive probes that have to fail before a data centre counts as unreachable. The servers that
+/// one probe chose may have ended while their records remain.
+const FAILED_PROBES_LIMIT: u32 = 2;
+
 /// Maximum number of prompt parts that are assumed to be in a server's cache; the least recently
 /// used are dropped.
 const CACHED_PARTS_MAX: usize = 4_096;
@@ -234,10 +238,19 @@
 
 #[derive(Debug, Default)]
 struct CentreState {
+    /// Consecutive probes that failed since anything was received.
+    failed_probes: u32,
     heard_at: Duration,
     unreachable: bool,
 }
 
+impl CentreState {
+    fn record_received(&mut self, now: Duration) {
+        self.failed_probes = 0;
+        self.heard_at = now;
+    }
+}
+
 /// Registered servers of all services and the reachability of their data centres, as one instance
 /// sees them.
 #[derive(Debug)]
@@ -308,11 +321,31 @@
     /// Returns true if it was unreachable before.
     pub fn mark_centre_reachable(&mut self, now: Duration, centre: &DataCentreName) -> bool {
         let state = self.centres.entry(centre.clone()).or_default();
-        state.heard_at = now;
+        state.record_received(now);
         std::mem::replace(&mut state.unreachable, false)
     }
 
-    /// Records that a data centre did not answer a probe. Returns true if it was reachable before.
+    /// Records that a server of a data centre sent a part of an answer. A data centre that is
+    /// unreachable becomes reachable again only by a probe or a datagram, which also logs the
+    /// change.
+    pub fn record_received(&mut self, now: Duration, centre: &DataCentreName) {
+        let Some(state) = self.centres.get_mut(centre) else {
+            return;
+        };
+        if !state.unreachable {
+            state.record_received(now);
+        }
+    }
+
+    /// Records that a data centre did not answer a probe, and marks it as unreachable after the
+    /// second one in a row. Returns true if it was reachable before.
+    pub fn record_failed_probe(&mut self, centre: &DataCentreName) -> bool {
+        let state = self.centres.entry(centre.clone()).or_default();
+        state.failed_probes = state.failed_probes.saturating_add(1);
+        state.failed_probes >= FAILED_PROBES_LIMIT && self.mark_centre_unreachable(centre)
+    }
+
+    /// Marks a data centre as unreachable. Returns true if it was reachable before.
     pub fn mark_centre_unreachable(&mut self, centre: &DataCentreName) -> bool {
         let state = self.centres.entry(centre.clone()).or_default();
         !std::mem::replace(&mut state.unreachable, true)
@@ -324,7 +357,7 @@
         (heard_at > Duration::ZERO).then(|| now.saturating_sub(heard_at))
     }
 
-    /// Returns true if the last probe of a data centre failed and no datagram has arrived from it
+    /// Returns true if the last probes of a data centre failed and no datagram has arrived from it
     /// since; false for a data centre that was never probed.
     pub fn is_centre_unreachable(&self, centre: &DataCentreName) -> bool {
         self.centres
@@ -497,9 +530,12 @@
     /// Records that a server has begun to answer a call; called when the head of the answer
     /// arrives.
     pub fn record_answer(&mut self, now: Duration, id: &str) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.answered_at = now;
-        }
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        server.answered_at = now;
+        let centre = server.record.data_centre.clone();
+        self.record_received(now, &centre);
     }
 
     /// Returns true if a server has begun to answer any call of this instance since `since`.
@@ -533,14 +569,8 @@
             AttemptOutcome::Abandoned | AttemptOutcome::Refused => {}
             AttemptOutcome::Completed => {
                 server.failure_streak = 0;
-                let centre = &server.record.data_centre;
-                // A data centre that is unreachable becomes reachable again only by a probe or a
-                // datagram, which also logs the change.
-                if let Some(state) = self.centres.get_mut(centre)
-                    && !state.unreachable
-                {
-                    state.heard_at = now;
-                }
+                let centre = server.record.data_centre.clone();
+                self.record_received(now, &centre);
             }
         }
     }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -184,6 +184,22 @@
         chosen.map(|(_, address)| *address).collect()
     }
 
+    /// Returns the addresses of up to two live peers of a data centre, which vary with `round`. The
+    /// data centre is reachable if a connection to one of them can be opened.
+    pub fn probe_addresses(
+        &self,
+        now: Duration,
+        data_centre: &DataCentreName,
+        round: usize,
+    ) -> SmallVec<[SocketAddr; 2]> {
+        let live = self.live_ranked(now, data_centre);
+        let chosen = live.iter().cycle().skip(round % live.len().max(1));
+        chosen
+            .take(live.len().min(2))
+            .map(|(_, address)| *address)
+            .collect()
+    }
+
     fn live_ranked(&self, now: Duration, data_centre: &DataCentreName) -> Vec<(u64, SocketAddr)> {
         let mut ranked = Vec::new();
         for (name, peer) in &self.by_name {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -123,6 +123,11 @@
                     return Some(self.finish_broken(error).await);
                 }
             };
+            self.exchange
+                .serving
+                .fleet
+                .borrow_mut()
+                .record_received(boot_time(), &self.centre);
             if let Err(error) = self.events.push(&chunk) {
                 self.set_interruption(Interruption::Malformed, None);
                 return Some(self.finish_broken(error).await);
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -6,6 +6,7 @@
 use ebonyspread::ServerName;
 use ebonyspread::ServiceName;
 use ebonyspread::fleet::AttemptOutcome;
+use ebonyspread::fleet::CENTRE_PROBE_AFTER;
 use ebonyspread::fleet::Fleet;
 use ebonyspread::fleet::PlacedAttempt;
 use ebonyspread::fleet::PlacementQuery;
@@ -158,6 +159,34 @@
     place(&mut fleet, NOW, &prompt(1, 1), &[]);
 }
 
+// Servers that ended keep their records for a while, and a probe may choose two of them.
+#[test]
+fn probe_of_ended_servers_does_not_cut_off_a_data_centre() {
+    let mut fleet = fleet("dc-0", 6);
+    let centre = "dc-1".into();
+    assert!(!fleet.record_failed_probe(&centre));
+    assert!(!fleet.is_centre_unreachable(&centre));
+    fleet.mark_centre_reachable(NOW, &centre);
+    assert!(!fleet.record_failed_probe(&centre));
+    assert!(!fleet.is_centre_unreachable(&centre));
+    assert!(fleet.record_failed_probe(&centre));
+    assert!(fleet.is_centre_unreachable(&centre));
+}
+
+#[test]
+fn data_centre_whose_servers_answer_is_not_probed() {
+    let mut fleet = fleet("dc-0", 6);
+    for centre in ["dc-0", "dc-1", "dc-2"] {
+        fleet.mark_centre_reachable(NOW, &centre.into());
+    }
+    let later = NOW + CENTRE_PROBE_AFTER;
+    fleet.record_answer(later, "server-1");
+    fleet.record_received(later, &"dc-2".into());
+    let probed = fleet.centres_to_probe(later + CENTRE_PROBE_AFTER / 2, 0);
+    let probed: Vec<&str> = probed.iter().map(|(centre, _)| centre.as_str()).collect();
+    assert_eq!(probed, ["dc-0"]);
+}
+
 #[test]
 fn retry_is_not_placed_on_a_server_that_was_tried() {
     let mut fleet = fleet("dc-0", 2);
--- a/tests/decisions/peers.rs
+++ b/tests/decisions/peers.rs
@@ -132,3 +132,19 @@
     let silence = DIGEST_INTERVAL * longest_gap as u32;
     assert!(silence < CENTRE_PROBE_AFTER, "{silence:?}");
 }
+
+#[test]
+fn probe_of_a_data_centre_includes_its_live_instances() {
+    let peers = peers_in_three_centres(0, 30);
+    let mut probed = BTreeSet::new();
+    for round in 0..10 {
+        let addresses = peers.probe_addresses(NOW, &"dc-1".into(), round);
+        assert_eq!(addresses.len(), 2);
+        probed.extend(addresses);
+    }
+    let expected: BTreeSet<SocketAddr> = (10..20).map(address).collect();
+    assert_eq!(probed, expected);
+    let silent = NOW + Duration::from_secs(60);
+    assert!(peers.probe_addresses(silent, &"dc-1".into(), 0).is_empty());
+    assert!(peers.probe_addresses(NOW, &"dc-9".into(), 0).is_empty());
+}
