--- a/src/call_trace.rs
+++ b/src/call_trace.rs
@@ -41,6 +41,8 @@
     pub(crate) last_event_at: Cell<TokioInstant>,
     received_at: TokioInstant,
     pub(crate) request_id: OnceCell<RequestId>,
+    /// Bytes of the response's body that were handed over to be written to the caller.
+    response_bytes: Cell<u64>,
     /// Server of the last attempt; empty before the first one.
     server: RefCell<ServerName>,
     serving: Rc<ServingState>,
@@ -58,6 +60,7 @@
             last_event_at: Cell::new(now),
             received_at: now,
             request_id: OnceCell::new(),
+            response_bytes: Cell::new(0),
             server: RefCell::default(),
             serving: serving.clone(),
             stage: Cell::new(CallStage::Request),
@@ -83,11 +86,18 @@
         self.last_event_at.set(TokioInstant::now());
     }
 
+    /// Records that bytes of the response's body are handed over to be written to the caller.
+    pub(crate) fn count_response_bytes(&self, count: usize) {
+        let response_bytes = self.response_bytes.get();
+        self.response_bytes.set(response_bytes + count as u64);
+    }
+
     /// Records that the call's `finish` line was logged. `has_response` is false if the connection
     /// is closed on purpose because the response is incomplete.
     pub(crate) fn end(&self, has_response: bool) {
         self.ended.set(true);
-        self.connection.end_call(self.request_id(), has_response);
+        let response_bytes = has_response.then(|| self.response_bytes.get());
+        self.connection.end_call(self.request_id(), response_bytes);
     }
 
     /// True until the call's `finish` line was logged.
--- a/src/connection_trace.rs
+++ b/src/connection_trace.rs
@@ -35,8 +35,8 @@
     /// Bytes were read after the last call ended, and no call began: a further request, part of
     /// one, or the rest of a request that was refused before it was read.
     Bytes(u64),
-    /// The response to the request with this id was built, and no byte was written since.
-    Response(RequestId),
+    /// The response to the last request was built but not written, or not to its end.
+    Response(UnwrittenResponse),
 }
 
 /// Writes the fields of a log line.
@@ -45,17 +45,33 @@
         match self {
             Self::Call(call) => write!(f, "request={} unanswered=call {call}", call.request_id()),
             Self::Bytes(bytes) => write!(f, "unanswered=bytes bytes={bytes}"),
-            Self::Response(id) => write!(f, "request={id} unanswered=response"),
+            Self::Response(response) => write!(
+                f,
+                "request={} unanswered=response body_bytes={} written_bytes={}",
+                response.request_id, response.body_bytes, response.written_bytes
+            ),
         }
     }
 }
 
-/// Bytes that a connection had transferred when its last call ended.
+/// Response of which fewer bytes were written than its body has.
+#[derive(Debug, Clone)]
+pub(crate) struct UnwrittenResponse {
+    body_bytes: u64,
+    request_id: RequestId,
+    /// Bytes written since the call began, including those of the head.
+    written_bytes: u64,
+}
+
+/// Last call of a connection.
 #[derive(Debug, Clone, Default)]
 struct LastCall {
-    /// Request whose response is to be written; `None` if there is none, or it was incomplete.
-    awaiting_write: Option<RequestId>,
+    /// Bytes that the connection had read when the call ended.
     read_bytes: u64,
+    /// Id of its request and bytes of its response's body; `None` if it has not ended, or ended
+    /// with an incomplete response.
+    response: Option<(RequestId, u64)>,
+    /// Bytes that the connection had written when the call began.
     written_bytes: u64,
 }
 
@@ -112,19 +128,20 @@
     /// Records that a call begins.
     pub(crate) fn begin_call(&self, call: &Rc<CallTrace>) {
         *self.call.borrow_mut() = Rc::downgrade(call);
-        *self.last_call.borrow_mut() = LastCall::default();
-    }
-
-    /// Records that the current call has ended. `has_response` tells whether a response to it is
-    /// still to be written.
-    pub(crate) fn end_call(&self, request_id: &str, has_response: bool) {
         *self.last_call.borrow_mut() = LastCall {
-            awaiting_write: has_response.then(|| request_id.into()),
-            read_bytes: self.read_bytes.get(),
             written_bytes: self.written_bytes.get(),
+            ..LastCall::default()
         };
     }
 
+    /// Records that the current call has ended, with a complete response whose body has
+    /// `response_bytes`, or with none.
+    pub(crate) fn end_call(&self, request_id: &str, response_bytes: Option<u64>) {
+        let mut last_call = self.last_call.borrow_mut();
+        last_call.read_bytes = self.read_bytes.get();
+        last_call.response = response_bytes.map(|bytes| (request_id.into(), bytes));
+    }
+
     /// Returns what the connection owes its caller now.
     pub(crate) fn unanswered(&self) -> Option<Unanswered> {
         let call = self.call.borrow().upgrade();
@@ -132,10 +149,15 @@
             return Some(Unanswered::Call(call));
         }
         let last_call = self.last_call.borrow();
-        if let Some(id) = &last_call.awaiting_write
-            && last_call.written_bytes == self.written_bytes.get()
+        let written_bytes = self.written_bytes.get() - last_call.written_bytes;
+        if let Some((request_id, body_bytes)) = &last_call.response
+            && written_bytes <= *body_bytes
         {
-            return Some(Unanswered::Response(id.clone()));
+            return Some(Unanswered::Response(UnwrittenResponse {
+                body_bytes: *body_bytes,
+                request_id: request_id.clone(),
+                written_bytes,
+            }));
         }
         match self.read_bytes.get() - last_call.read_bytes {
             0 => None,
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -162,6 +162,7 @@
     async fn run(mut self) -> Response<BoxBody> {
         match self.run_attempts(None).await {
             Ok(AttemptResponse::Whole(attempt, head, body)) => {
+                self.trace.count_response_bytes(body.len());
                 self.log_finish("whole", head.status.as_u16(), &attempt.placed.server);
                 respond(&head, BoxBody::new(body))
             }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -142,7 +142,9 @@
                 }
             }
         }
-        joined.map(BytesMut::freeze).or(single)
+        let events = joined.map(BytesMut::freeze).or(single)?;
+        self.exchange.trace.count_response_bytes(events.len());
+        Some(events)
     }
 
     fn read_deadline(&self) -> TokioInstant {
--- a/src/router.rs
+++ b/src/router.rs
@@ -335,8 +335,8 @@
             && let Err(denied) = self.budget.withdraw(&request.account, &failed.server.name)
         {
             warn!(
-                "retry account={} server={} outcome=denied {denied}",
-                request.account, failed.server.name
+                "retry request={} account={} server={} outcome=denied {denied}",
+                request.request_id, request.account, failed.server.name
             );
             return Err(Error::RetryBudgetSpent {
                 subject: request.subject.clone(),
