Let a planned stop wait until responses are written

A caller that reads slowly lost the end of its response when its instance was stopped: the process exited once no call was in progress, and a call counts as ended when its response is built, not when it is written. The stop now also waits until the callers' connections have closed, at most until the end of the grace period as before.

Found by a test while the hypothesis of a planned stop was checked; not the cause of the traced losses, none of which has a stop.

Tests: planned_stop_does_not_cut_a_response_that_its_caller_reads_late failed before (3,919,727 of the bytes arrived) and passes now; idle_connections_do_not_delay_a_planned_stop guards against the reverse.

--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -48,7 +48,7 @@
 /// instances that started at about the same time.
 const INSTANCES_READ_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval at which a stop checks whether calls are still in progress.
+/// Interval at which a stop checks whether calls are still in progress or connections open.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Interval at which expired idle connections to servers are closed.
@@ -181,8 +181,8 @@
 }
 
 /// Stops in order: reports that the instance is not ready, waits for the load balancer to notice,
-/// stops accepting connections and waits for the calls in progress, after which their connections
-/// close.
+/// stops accepting connections and waits until the calls in progress have ended and the callers'
+/// connections have closed, at most until shortly before the end of `grace`.
 async fn stop(
     serving: &ServingState,
     grace: Duration,
@@ -200,7 +200,10 @@
     accepting.cancel();
     closing.cancel();
     let end = grace.saturating_sub(EXIT_RESERVE);
-    while serving.in_flight.get() > 0 && began.elapsed() < end {
+    // Responses of calls that have ended may not have been written yet, so the callers' connections
+    // have to close, too.
+    let is_busy = || serving.in_flight.get() > 0 || !serving.callers.borrow().is_empty();
+    while is_busy() && began.elapsed() < end {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     serving.stopped.set(true);
