Count a call as run once its server answers it

A stream that had delivered events and reached its deadline was logged, and counted in the metrics, as refused: 'service desk is overloaded; retry after 300 ms'. Callers were not told so, since the head had been sent. The call counted as run only after an attempt had failed; it does now from the head of an answer that the server executed.

Test: stream_that_ran_until_its_deadline_is_not_logged_as_not_run failed before with that text and passes now.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -454,7 +454,7 @@
                     "answer is not the server's own".to_owned(),
                 ));
             }
-            ResponseKind::Executed => {}
+            ResponseKind::Executed => self.may_have_run = true,
         }
         self.count_usage();
         let is_stream = matches!(self.route.call_kind, CallKind::Stream { .. });
@@ -471,10 +471,7 @@
                 attempt.outcome = AttemptOutcome::Broken;
                 Ok(AttemptResult::Lost(error.reason))
             }
-            Err(_) => {
-                self.may_have_run = true;
-                Ok(AttemptResult::TimedOut)
-            }
+            Err(_) => Ok(AttemptResult::TimedOut),
         }
     }
 
@@ -576,7 +573,6 @@
         &mut self,
         last_event_id: Option<&str>,
     ) -> Option<AttemptResponse> {
-        self.may_have_run = true;
         match self.attempt(last_event_id).await {
             Ok(AttemptResult::Whole(attempt, head, body)) => {
                 Some(AttemptResponse::Whole(attempt, head, body))
