Let what arrives from a data centre outweigh the suspicion that it is cut off

An instance no longer probes its own data centre. Every head of an answer and every part of a stream clears the mark; a datagram during a probe makes its failure void. A move leaves the health of the server as it is. New calls avoid a data centre whose last probe failed while others are healthy.

--- a/src/centre_watch.rs
+++ b/src/centre_watch.rs
@@ -46,8 +46,56 @@
 type ProbeAddresses = SmallVec<[SocketAddr; 4]>;
 
 async fn probe(serving: &ServingState, centre: DataCentreName, addresses: ProbeAddresses) {
-    let reachable = any_reachable(&addresses).await;
-    apply_probe_result(serving, &centre, &addresses, reachable);
+    let began_at = boot_time();
+    match any_reachable(&addresses).await {
+        Some(address) => record_received(serving, &centre, &address),
+        None => record_failed_probe(serving, began_at, &centre, &addresses),
+    }
+}
+
+/// Records that a data centre can be reached, because something was received from `sender` in it.
+pub(crate) fn record_received(
+    serving: &ServingState,
+    centre: &DataCentreName,
+    sender: &dyn fmt::Display,
+) {
+    let now = boot_time();
+    let mut fleet = serving.fleet.borrow_mut();
+    let silence = fleet.centre_silence(now, centre);
+    if !fleet.mark_centre_reachable(now, centre) {
+        return;
+    }
+    info!(
+        "dependency name=data-centre id={centre} regained by={sender} silent_ms={}",
+        format_ms(silence)
+    );
+    serving.cut_off_changes.send_modify(|count| *count += 1);
+}
+
+fn record_failed_probe(
+    serving: &ServingState,
+    began_at: Duration,
+    centre: &DataCentreName,
+    addresses: &[SocketAddr],
+) {
+    let mut fleet = serving.fleet.borrow_mut();
+    let silence = fleet.centre_silence(boot_time(), centre);
+    if !fleet.record_failed_probe(began_at, centre) {
+        return;
+    }
+    serving.metrics.centre_cut_off();
+    let probed: SmallVec<[String; 4]> = addresses.iter().map(ToString::to_string).collect();
+    warn!(
+        "dependency name=data-centre id={centre} lost silent_ms={} probed={} \
+         reason=\"no connection\"",
+        format_ms(silence),
+        probed.join(","),
+    );
+    serving.cut_off_changes.send_modify(|count| *count += 1);
+}
+
+fn format_ms(time: Option<Duration>) -> String {
+    time.map_or("unknown".to_owned(), |time| time.as_millis().to_string())
 }
 
 /// Returns once the data centre is marked as cut off, at once if it already is.
@@ -63,55 +111,22 @@
     }
 }
 
-async fn any_reachable(addresses: &[SocketAddr]) -> bool {
-    let mut connecting: FuturesUnordered<_> = addresses.iter().map(is_reachable).collect();
-    while let Some(reachable) = connecting.next().await {
-        if reachable {
-            return true;
+/// Returns the first of the addresses that responds.
+async fn any_reachable(addresses: &[SocketAddr]) -> Option<SocketAddr> {
+    let mut connecting: FuturesUnordered<_> = addresses.iter().copied().map(connect).collect();
+    while let Some(responding) = connecting.next().await {
+        if responding.is_some() {
+            return responding;
         }
     }
-    false
+    None
 }
 
-async fn is_reachable(address: &SocketAddr) -> bool {
+async fn connect(address: SocketAddr) -> Option<SocketAddr> {
     match tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => true,
+        Ok(Ok(_)) => Some(address),
         // A refused connection shows that the machine can be reached.
-        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-        Err(_) => false,
-    }
-}
-
-fn apply_probe_result(
-    serving: &ServingState,
-    centre: &DataCentreName,
-    addresses: &[SocketAddr],
-    reachable: bool,
-) {
-    let now = boot_time();
-    let silence = serving.fleet.borrow().centre_silence(now, centre);
-    let silent_ms = silence.map_or("unknown".to_owned(), |time| time.as_millis().to_string());
-    let changed = match reachable {
-        true => serving
-            .fleet
-            .borrow_mut()
-            .mark_centre_reachable(now, centre),
-        false => serving.fleet.borrow_mut().record_failed_probe(centre),
-    };
-    if !changed {
-        return;
-    }
-    match reachable {
-        true => info!("dependency name=data-centre id={centre} regained silent_ms={silent_ms}"),
-        false => {
-            serving.metrics.centre_cut_off();
-            let probed: SmallVec<[String; 4]> = addresses.iter().map(ToString::to_string).collect();
-            let probed = probed.join(",");
-            warn!(
-                "dependency name=data-centre id={centre} lost silent_ms={silent_ms} \
-                 probed={probed} reason=\"no connection\""
-            );
-        }
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Some(address),
+        Ok(Err(_)) | Err(_) => None,
     }
-    serving.cut_off_changes.send_modify(|count| *count += 1);
 }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -321,7 +321,6 @@
                     if !self.acquire_move() {
                         continue;
                     }
-                    attempt.outcome = AttemptOutcome::Broken;
                     return SendResult::GivenUp(CUT_OFF_REASON);
                 }
             };
@@ -345,6 +344,8 @@
     /// Tells the fleet that the server has begun to answer and, for a model call, how long the head
     /// of the response took.
     fn record_response_time(&self, attempt: &Attempt, elapsed: Duration) {
+        let placed = &attempt.placed;
+        record_received(&self.serving, &placed.data_centre, &placed.server);
         let mut fleet = self.serving.fleet.borrow_mut();
         fleet.record_answer(boot_time(), &attempt.placed.server);
         let Some(prompt) = &self.call.prompt else {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -185,10 +185,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
     /// The caller disconnected, the deadline passed, or the call was moved because its answer came
-    /// late while the server answered others. The server's health is left as it is.
+    /// late while the server answered others, or because the server's data centre seemed cut off.
+    /// The server's health is left as it is.
     Abandoned,
-    /// The connection broke, the answer was corrupted or stalled, the server answered no call in
-    /// time, or its data centre became unreachable while the call ran.
+    /// The connection broke, the answer was corrupted or stalled, or the server answered no call in
+    /// time.
     Broken,
     /// The server sent a complete answer, which resets its count of consecutive failures.
     Completed,
@@ -244,13 +245,6 @@
     unreachable: bool,
 }
 
-impl CentreState {
-    fn record_received(&mut self, now: Duration) {
-        self.failed_probes = 0;
-        self.heard_at = now;
-    }
-}
-
 /// Registered servers of all services and the reachability of their data centres, as one instance
 /// sees them.
 #[derive(Debug)]
@@ -317,30 +311,23 @@
         self.servers.values()
     }
 
-    /// Records that a data centre answered, accepted a connection or sent a peer's datagram.
-    /// Returns true if it was unreachable before.
+    /// Records that a data centre accepted a connection, or sent a peer's datagram or a part of an
+    /// answer. Returns true if it was unreachable before.
     pub fn mark_centre_reachable(&mut self, now: Duration, centre: &DataCentreName) -> bool {
         let state = self.centres.entry(centre.clone()).or_default();
-        state.record_received(now);
+        state.failed_probes = 0;
+        state.heard_at = now;
         std::mem::replace(&mut state.unreachable, false)
     }
 
-    /// Records that a server of a data centre sent a part of an answer. A data centre that is
-    /// unreachable becomes reachable again only by a probe or a datagram, which also logs the
-    /// change.
-    pub fn record_received(&mut self, now: Duration, centre: &DataCentreName) {
-        let Some(state) = self.centres.get_mut(centre) else {
-            return;
-        };
-        if !state.unreachable {
-            state.record_received(now);
-        }
-    }
-
-    /// Records that a data centre did not answer a probe, and marks it as unreachable after the
-    /// second one in a row. Returns true if it was reachable before.
-    pub fn record_failed_probe(&mut self, centre: &DataCentreName) -> bool {
+    /// Records that a data centre did not answer a probe that began at `began_at`, and marks it as
+    /// unreachable after the second one in a row. Has no effect if anything was received from it
+    /// since. Returns true if it was reachable before.
+    pub fn record_failed_probe(&mut self, began_at: Duration, centre: &DataCentreName) -> bool {
         let state = self.centres.entry(centre.clone()).or_default();
+        if state.heard_at > began_at {
+            return false;
+        }
         state.failed_probes = state.failed_probes.saturating_add(1);
         state.failed_probes >= FAILED_PROBES_LIMIT && self.mark_centre_unreachable(centre)
     }
@@ -365,7 +352,7 @@
             .is_some_and(|state| state.unreachable)
     }
 
-    /// Returns the data centres with registered servers from which nothing was received for
+    /// Returns the other data centres with registered servers from which nothing was received for
     /// [`CENTRE_PROBE_AFTER`], each with the addresses of two servers, which vary with `round`;
     /// they are the same if there is only one.
     pub fn centres_to_probe(
@@ -376,6 +363,9 @@
         let mut addresses_by_centre: BTreeMap<&DataCentreName, Vec<SocketAddr>> = BTreeMap::new();
         for server in self.servers.values() {
             let centre = &server.record.data_centre;
+            if *centre == self.data_centre {
+                continue;
+            }
             let heard_at = self.centres.get(centre).map(|state| state.heard_at);
             if heard_at.is_some_and(|at| now.saturating_sub(at) < CENTRE_PROBE_AFTER) {
                 continue;
@@ -530,12 +520,9 @@
     /// Records that a server has begun to answer a call; called when the head of the answer
     /// arrives.
     pub fn record_answer(&mut self, now: Duration, id: &str) {
-        let Some(server) = self.servers.get_mut(id) else {
-            return;
-        };
-        server.answered_at = now;
-        let centre = server.record.data_centre.clone();
-        self.record_received(now, &centre);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.answered_at = now;
+        }
     }
 
     /// Returns true if a server has begun to answer any call of this instance since `since`.
@@ -567,11 +554,7 @@
             }
             AttemptOutcome::WrongServer => server.ejected_until = now + EJECTION_MAX,
             AttemptOutcome::Abandoned | AttemptOutcome::Refused => {}
-            AttemptOutcome::Completed => {
-                server.failure_streak = 0;
-                let centre = server.record.data_centre.clone();
-                self.record_received(now, &centre);
-            }
+            AttemptOutcome::Completed => server.failure_streak = 0,
         }
     }
 
@@ -723,8 +706,10 @@
             && !(query.suspect && server.suspects_here > 0)
     }
 
-    /// Returns true if a server is neither ejected nor in an unreachable data centre.
+    /// Returns true if a server is neither ejected nor in a data centre whose last probe failed.
     fn is_healthy(&self, server: &FleetServer, now: Duration) -> bool {
-        now >= server.ejected_until && !self.is_centre_unreachable(&server.record.data_centre)
+        let centre = self.centres.get(&server.record.data_centre);
+        let is_suspected = centre.is_some_and(|state| state.unreachable || state.failed_probes > 0);
+        now >= server.ejected_until && !is_suspected
     }
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -103,13 +103,8 @@
     }
     let mut wall_clock = serving.wall_clock.borrow_mut();
     wall_clock.record_peer_estimate(now, peer, digest.unix_ms);
+    record_received(serving, &digest.data_centre, peer);
     let mut fleet = serving.fleet.borrow_mut();
-    if fleet.mark_centre_reachable(now, &digest.data_centre) {
-        info!(
-            "dependency name=data-centre id={} regained by={peer}",
-            digest.data_centre
-        );
-    }
     fleet.update_peer_loads(now, peer, &digest.loads);
     fleet.update_peer_rates(now, peer, digest.prefill_rates);
     let mut limits = serving.limits.borrow_mut();
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -123,11 +123,7 @@
                     return Some(self.finish_broken(error).await);
                 }
             };
-            self.exchange
-                .serving
-                .fleet
-                .borrow_mut()
-                .record_received(boot_time(), &self.centre);
+            record_received(&self.exchange.serving, &self.centre, &self.server);
             if let Err(error) = self.events.push(&chunk) {
                 self.set_interruption(Interruption::Malformed, None);
                 return Some(self.finish_broken(error).await);
@@ -187,7 +183,10 @@
 
     fn abandon_server(&mut self, reason: &str) {
         if let Some(attempt) = &mut self.attempt {
-            attempt.outcome = AttemptOutcome::Broken;
+            attempt.outcome = match self.interruption {
+                Interruption::CutOff => AttemptOutcome::Abandoned,
+                _ => AttemptOutcome::Broken,
+            };
         }
         self.attempt = None;
         // The server may be slow rather than down, so it has to stop before another one resumes.
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -164,27 +164,47 @@
 fn probe_of_ended_servers_does_not_cut_off_a_data_centre() {
     let mut fleet = fleet("dc-0", 6);
     let centre = "dc-1".into();
-    assert!(!fleet.record_failed_probe(&centre));
+    assert!(!fleet.record_failed_probe(NOW, &centre));
     assert!(!fleet.is_centre_unreachable(&centre));
     fleet.mark_centre_reachable(NOW, &centre);
-    assert!(!fleet.record_failed_probe(&centre));
+    assert!(!fleet.record_failed_probe(NOW, &centre));
     assert!(!fleet.is_centre_unreachable(&centre));
-    assert!(fleet.record_failed_probe(&centre));
+    assert!(fleet.record_failed_probe(NOW, &centre));
     assert!(fleet.is_centre_unreachable(&centre));
 }
 
 #[test]
-fn data_centre_whose_servers_answer_is_not_probed() {
+fn probe_during_which_a_datagram_arrives_does_not_count_as_failed() {
+    let mut fleet = fleet("dc-0", 6);
+    let centre = "dc-1".into();
+    for _ in 0..4 {
+        fleet.mark_centre_reachable(NOW + Duration::from_millis(100), &centre);
+        assert!(!fleet.record_failed_probe(NOW, &centre));
+    }
+    assert!(!fleet.is_centre_unreachable(&centre));
+}
+
+#[test]
+fn new_calls_avoid_a_data_centre_whose_last_probe_failed() {
+    let mut fleet = fleet("dc-0", 6);
+    fleet.record_failed_probe(NOW, &"dc-1".into());
+    for own in 0..60 {
+        let placed = place(&mut fleet, NOW, &prompt(own, own), &[]);
+        assert_ne!(placed.data_centre, "dc-1");
+    }
+}
+
+#[test]
+fn own_data_centre_and_those_that_were_heard_are_not_probed() {
     let mut fleet = fleet("dc-0", 6);
     for centre in ["dc-0", "dc-1", "dc-2"] {
         fleet.mark_centre_reachable(NOW, &centre.into());
     }
     let later = NOW + CENTRE_PROBE_AFTER;
-    fleet.record_answer(later, "server-1");
-    fleet.record_received(later, &"dc-2".into());
+    fleet.mark_centre_reachable(later, &"dc-1".into());
     let probed = fleet.centres_to_probe(later + CENTRE_PROBE_AFTER / 2, 0);
     let probed: Vec<&str> = probed.iter().map(|(centre, _)| centre.as_str()).collect();
-    assert_eq!(probed, ["dc-0"]);
+    assert_eq!(probed, ["dc-2"]);
 }
 
 #[test]
