Count a peer as silent only after it was known for a while

Instances that start together sent each other no digests for up to 3 s: a peer that had never been heard counted as silent, and silent peers get a digest in one round of ten only. Until then only probes of servers showed that a data centre can be reached. Found by a review; not traced to a lost answer.

Test: instances_that_start_together_do_not_wait_for_each_others_first_digest failed before (0 of 3 peers in the first rounds) and passes now.

--- a/src/peers.rs
+++ b/src/peers.rs
@@ -47,11 +47,22 @@
     /// Data centre that the peer named in its record or first digest; only peers of the same one
     /// are read from.
     pub data_centre: DataCentreName,
+    /// Time at which the address became known.
+    pub known_at: Duration,
     /// Receipt time of the peer's last digest, and the send time that the digest contained; `None`
     /// before the first digest.
     pub last_digest: Option<(Duration, Duration)>,
 }
 
+impl Peer {
+    /// Returns true if no digest has come for [`SILENT_AFTER`], although the address was known.
+    fn is_silent(&self, now: Duration) -> bool {
+        let received_at = self.last_digest.map(|(received_at, _)| received_at);
+        let since = received_at.unwrap_or_default().max(self.known_at);
+        now.saturating_sub(since) > SILENT_AFTER
+    }
+}
+
 /// The known peers of an instance, in the order of their names.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -62,7 +73,7 @@
     /// Applies a record of the instances' topic, which maps instance names to addresses. A record
     /// with no value or an invalid one removes the peer; the record of the instance `own` is
     /// ignored.
-    pub fn apply_record(&mut self, record: &KeyedRecord, own: &InstanceName) {
+    pub fn apply_record(&mut self, now: Duration, record: &KeyedRecord, own: &InstanceName) {
         if record.key == *own {
             return;
         }
@@ -77,6 +88,7 @@
                 let peer = Peer {
                     address,
                     data_centre: data_centre.into(),
+                    known_at: now,
                     last_digest: None,
                 };
                 self.by_name.insert(record.key.clone(), peer);
@@ -101,6 +113,7 @@
         let peer = self.by_name.entry(name.clone()).or_insert_with(|| Peer {
             address,
             data_centre: data_centre.clone(),
+            known_at: now,
             last_digest: None,
         });
         peer.last_digest = Some((now, sent));
@@ -121,10 +134,7 @@
     ) -> Vec<DigestTarget> {
         let mut ranked = Vec::new();
         for (name, peer) in &self.by_name {
-            let silent = peer
-                .last_digest
-                .is_none_or(|(received_at, _)| now.saturating_sub(received_at) > SILENT_AFTER);
-            if silent && !round.is_multiple_of(SILENT_ROUNDS) {
+            if peer.is_silent(now) && !round.is_multiple_of(SILENT_ROUNDS) {
                 continue;
             }
             let echoed = peer.last_digest.map(|(_, sent)| sent);
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -288,7 +288,7 @@
         let on_event = move |event| {
             if let TopicEvent::Change(record) = event {
                 let mut peers = serving.peers.borrow_mut();
-                peers.apply_record(&record, &own);
+                peers.apply_record(boot_time(), &record, &own);
                 let mut limits = serving.limits.borrow_mut();
                 limits.set_instances(peers.known_count() + 1);
             }
--- a/tests/decisions/peers.rs
+++ b/tests/decisions/peers.rs
@@ -7,7 +7,10 @@
 use ebonyspread::InstanceName;
 use ebonyspread::fleet::CENTRE_PROBE_AFTER;
 use ebonyspread::gossip::DIGEST_INTERVAL;
+use ebonyspread::keyed_view::KeyedRecord;
 use ebonyspread::peers::Peers;
+use ebonyspread::wire;
+use prost::Message;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -148,3 +151,31 @@
     assert!(peers.probe_addresses(silent, &"dc-1".into(), 0).is_empty());
     assert!(peers.probe_addresses(NOW, &"dc-9".into(), 0).is_empty());
 }
+
+/// Returns the record of an instance in the instances' topic.
+fn record(index: u16) -> KeyedRecord {
+    let value = wire::InstanceRecord {
+        data_centre: "dc-a".to_owned(),
+        life: 1,
+        peer_address: address(index).to_string(),
+    };
+    KeyedRecord {
+        key: name(index),
+        offset: index.into(),
+        value: Some(value.encode_to_vec().into()),
+    }
+}
+
+#[test]
+fn instances_that_start_together_do_not_wait_for_each_others_first_digest() {
+    let mut peers = Peers::default();
+    for index in 1..4 {
+        peers.apply_record(NOW, &record(index), &name(0));
+    }
+    for round in 0..10 {
+        assert_eq!(peers.digest_targets(NOW, &name(0), round).len(), 3);
+    }
+    let later = NOW + Duration::from_secs(60);
+    assert_eq!(peers.digest_targets(later, &name(0), 1).len(), 0);
+    assert_eq!(peers.digest_targets(later, &name(0), 10).len(), 3);
+}
