Ask again for a call that could not be moved out of a data centre that seems cut off

A call in a data centre that is cut off waited for its deadline if no other server or no retry was left at the moment of the mark, though the budget grows with each accepted call and servers are added. It is now tried again each second while the mark stays, also after a stall was denied. A call that may have run is also no longer given up after three failed connection attempts.

--- a/src/centre_watch.rs
+++ b/src/centre_watch.rs
@@ -16,10 +16,15 @@
 use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
 use tokio::net::TcpStream;
+use tokio::time::Instant as TokioInstant;
 
 /// Interval between checks for data centres that have been silent long enough to be probed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which a call in a data centre that seems cut off, and that could not be moved, is
+/// tried to be moved again: the retry budget grows with each accepted call.
+pub(crate) const MOVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Timeout for one connection of a probe: many times the latency between data centres of a region.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -98,8 +103,9 @@
     time.map_or("unknown".to_owned(), |time| time.as_millis().to_string())
 }
 
-/// Returns once the data centre is marked as cut off, at once if it already is.
-pub async fn wait_for_cut_off(serving: &ServingState, centre: &DataCentreName) {
+/// Returns once the data centre is marked as cut off, but not before `from`.
+pub async fn wait_for_cut_off(serving: &ServingState, centre: &DataCentreName, from: TokioInstant) {
+    tokio::time::sleep_until(from).await;
     let mut changes = serving.cut_off_changes.subscribe();
     loop {
         if serving.fleet.borrow().is_centre_unreachable(centre) {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -26,8 +26,8 @@
 /// Maximum size of a response that is buffered before it is forwarded.
 const BUFFERED_RESPONSE_MAX_BYTES: usize = 16 << 20;
 
-/// Failed connection attempts after which a call is refused, since each one delays the caller by up
-/// to the connection timeout.
+/// Failed connection attempts after which a call that cannot have run is refused, since each one
+/// delays the caller by up to the connection timeout.
 const CONNECT_FAILURES_MAX: u32 = 3;
 
 /// Part of the caller's timeout that is reserved for returning the response to the caller.
@@ -216,7 +216,7 @@
                 AttemptResult::NotSent(reason) => {
                     self.log_attempt_failure("not-sent", &reason);
                     self.connect_failures += 1;
-                    if self.connect_failures >= CONNECT_FAILURES_MAX {
+                    if self.connect_failures >= CONNECT_FAILURES_MAX && !self.may_have_run {
                         return Err(self.refused_error());
                     }
                 }
@@ -311,14 +311,16 @@
             None => self.deadline,
         };
         let centre = attempt.placed.data_centre.clone();
-        let mut waits_for_cut_off = response_wait.is_some();
+        let mut move_at = sent_at;
         loop {
             let sent = tokio::select! {
                 biased;
                 sent = timeout_at(wait_until, &mut sending) => sent,
-                () = wait_for_cut_off(&self.serving, &centre), if waits_for_cut_off => {
-                    waits_for_cut_off = false;
+                () = wait_for_cut_off(&self.serving, &centre, move_at),
+                    if response_wait.is_some() =>
+                {
                     if !self.acquire_move() {
+                        move_at = TokioInstant::now() + MOVE_INTERVAL;
                         continue;
                     }
                     return SendResult::GivenUp(CUT_OFF_REASON);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 use crate::capacity::CapacityPlanner;
 use crate::capacity::CapacityView;
 use crate::capacity::OrderOutcome;
+use crate::centre_watch::MOVE_INTERVAL;
 use crate::centre_watch::record_received;
 use crate::centre_watch::wait_for_cut_off;
 use crate::centre_watch::watch_centres;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -27,12 +27,11 @@
     ended: bool,
     events: SseParser,
     exchange: Exchange,
-    /// True once the data centre of the server seemed cut off and the stream could not be moved to
-    /// another server; it then waits for the server.
-    ignores_cut_off: bool,
     /// Cause of the last interruption, for the log.
     interruption: Interruption,
     last_event_id: Option<SmolStr>,
+    /// Time from which the stream may be moved because its data centre seems cut off.
+    move_at: TokioInstant,
     /// Whether a retry was allowed after the last interruption, or which limit denied it; `None` if
     /// none was requested.
     retry: Option<Result<(), RetryDenied>>,
@@ -61,9 +60,9 @@
             ended: false,
             events: SseParser::default(),
             exchange,
-            ignores_cut_off: false,
             interruption: Interruption::Broken,
             last_event_id: None,
+            move_at: TokioInstant::now(),
             retry: None,
             server,
             waits_for_deadline: false,
@@ -80,14 +79,13 @@
                 return Some((Ok(events), self));
             }
             let read_deadline = self.read_deadline();
-            let can_move = read_deadline < self.exchange.deadline;
-            let watches_centre = can_move && !self.ignores_cut_off;
+            let serving = self.exchange.serving.clone();
             let read = tokio::select! {
                 biased;
                 read = timeout_at(read_deadline, self.body.next()) => read,
-                () = wait_for_cut_off(&self.exchange.serving, &self.centre), if watches_centre => {
+                () = wait_for_cut_off(&serving, &self.centre, self.move_at), if self.can_move() => {
                     if !self.exchange.acquire_move() {
-                        self.ignores_cut_off = true;
+                        self.move_at = TokioInstant::now() + MOVE_INTERVAL;
                         continue;
                     }
                     let reason = CUT_OFF_REASON.to_owned();
@@ -156,11 +154,16 @@
         Some(events)
     }
 
+    /// Returns true if the stream's route lets it go on at another server.
+    fn can_move(&self) -> bool {
+        let exchange = &self.exchange;
+        exchange.route.call_kind == CallKind::Stream { resumable: true }
+            && exchange.sends < exchange.route.attempts_max
+    }
+
     fn read_deadline(&self) -> TokioInstant {
         let exchange = &self.exchange;
-        let can_resume = exchange.route.call_kind == CallKind::Stream { resumable: true }
-            && exchange.sends < exchange.route.attempts_max;
-        if !can_resume || self.waits_for_deadline {
+        if !self.can_move() || self.waits_for_deadline {
             return exchange.deadline;
         }
         let gap = exchange.route.gap_target.mul_f64(STALL_TIMEOUT_GAP_TARGETS);
@@ -209,7 +212,6 @@
                 self.exchange.trace.stage.set(CallStage::Stream);
                 self.attempt = Some(attempt);
                 self.body = response.body;
-                self.ignores_cut_off = false;
                 self.waits_for_deadline = false;
                 Ok(())
             }
