Keep changes of a followed topic in proportion to its keys

Instances read the servers' topic through two of each hundred, which keep the last 1,024 changes. When thousands of servers leave at once their readers have missed more than that and read the whole topic again, all of them, from the same two: in trials 'requested records have expired' many times, 0.8 to 1.8 s between updates at the late instances. A feed now keeps three changes for each key that the topic has had.

Not shown yet: that this was the whole of the delay; the reads that find no recent copy are another part.

Test: change_of_all_keys_at_once_does_not_make_readers_start_over failed before (Gone) and passes now.

--- a/src/topic_feed.rs
+++ b/src/topic_feed.rs
@@ -8,10 +8,14 @@
 
 use super::*;
 
-/// Maximum number of changes that a feed keeps. A reader that has missed more of them reads the
-/// newest record of each key instead.
+/// Minimum of the maximum number of changes that a feed keeps. A reader that has missed more of them
+/// reads the newest record of each key instead.
 const CHANGES_MAX: usize = 1_024;
 
+/// Maximum number of changes that a feed keeps for each key that the topic has had at a time. A
+/// backend server is registered, marked as leaving and removed.
+const CHANGES_PER_KEY_MAX: usize = 3;
+
 /// Answer to a peer's read that starts at an offset.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FeedRead {
@@ -45,6 +49,8 @@
     complete_from: LogOffset,
     /// True from a failed read of the log until a read reaches the topic's end.
     is_unreadable: bool,
+    /// Largest number of keys that the topic has had at a time.
+    keys_max: usize,
     newest: BTreeMap<SmolStr, KeyedRecord>,
     /// End of the topic and the time at which a read showed it; `None` before the first such read.
     observed_end: Option<(LogOffset, Duration)>,
@@ -58,8 +64,9 @@
             Some(_) => self.newest.insert(record.key.clone(), record.clone()),
             None => self.newest.remove(&record.key),
         };
+        self.keys_max = self.keys_max.max(self.newest.len());
         self.changes.push_back(record);
-        if self.changes.len() <= CHANGES_MAX {
+        if self.changes.len() <= CHANGES_MAX.max(self.keys_max * CHANGES_PER_KEY_MAX) {
             return;
         }
         if let Some(oldest) = self.changes.pop_front() {
--- a/tests/decisions/topic_feed.rs
+++ b/tests/decisions/topic_feed.rs
@@ -74,6 +74,29 @@
     assert_eq!(records(feed.read(2_999)), vec![2_999]);
 }
 
+// The platform reclaims all servers at once: each is marked as leaving and then removed. If readers
+// then read the whole topic, they learn late which servers are leaving.
+#[test]
+fn change_of_all_keys_at_once_does_not_make_readers_start_over() {
+    let keys: Vec<String> = (0..3_000).map(|index| format!("server-{index}")).collect();
+    let mut feed = TopicFeed::default();
+    let mut end = 0;
+    for key in &keys {
+        feed.apply(record(key, end, Some("ready")));
+        end += 1;
+    }
+    feed.confirm_end(READ_AT, end);
+    let from = end;
+    for value in [Some("leaving"), None] {
+        for key in &keys {
+            feed.apply(record(key, end, value));
+            end += 1;
+        }
+    }
+    feed.confirm_end(READ_AT, end);
+    assert_eq!(records(feed.read(from)).len(), 6_000);
+}
+
 // A suspended or slow instance must not make its peers treat old records as new: they would
 // continue to serve keys that have been revoked in the meantime.
 #[yare::parameterized(
