Bound the bytes that a call reads before its own response

Seen by callers: when a server sent informational heads, the body of a response to another call or the extension of a chunk without end, the call held its connection and the processor until its deadline (504 after 5 s). A refusal's body was read up to 16 MiB.

Cause: connection_pool counted responses to other calls, not bytes; informational heads and bytes between two parts of a body were not counted at all. drain_refusal used the limit of whole responses and kept what it read.

Ruled out: a head without end; the codec already ends it at 128 KiB and 96 headers.

Change: limits in bytes for the head of a response (64 KiB), for all that is read before the own body (1 MiB) and between two parts of a body (64 KiB), and in number for informational heads (64). Past a limit the connection is closed, the call is lost and the server counts as broken. The body of a refusal is skipped instead of kept, up to 64 KiB.

--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -42,6 +42,19 @@
 /// Free space in bytes that is made in the buffer before each read from a connection.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
+/// Maximum size of the head of a response. A server that sends more without ending it is faulty.
+const HEAD_MAX_BYTES: usize = 64 << 10;
+
+/// Maximum number of informational (1xx) heads before the response to a call.
+const INFORMATIONAL_HEADS_MAX: u32 = 64;
+
+/// Maximum number of bytes that a call reads before the end of the head of its own response: that
+/// head, informational heads, responses to other calls, and what is read along with them.
+const BEFORE_BODY_MAX_BYTES: usize = 1 << 20;
+
+/// Maximum number of bytes between two parts of a body, such as the extension of a chunk's size.
+const FRAMING_MAX_BYTES: usize = 64 << 10;
+
 /// Number of responses to other calls that a call skips while it waits for its own; after the last
 /// of them the call fails.
 const STRAY_RESPONSES_MAX: u32 = 4;
@@ -103,6 +116,11 @@
 struct Connection {
     buffer: BytesMut,
     codec: ClientCodec,
+    /// Number of informational heads that the current call has read.
+    informational_heads: u32,
+    /// Number of bytes received since the current call was sent or, once its body is read, since
+    /// the last part of the body.
+    received_bytes: usize,
     idle_since: Instant,
     idle_timeout: Duration,
     stream: TcpStream,
@@ -179,6 +197,8 @@
             .encode(Message::Item((head, size)), &mut request)
             .map_err(ServerCallError::not_sent)?;
         request.extend_from_slice(call.body);
+        connection.informational_heads = 0;
+        connection.received_bytes = 0;
         let written = connection.write_request(&request).await?;
         let (head, framing) = connection.read_head(&self.config, call.owner_of).await?;
         // If the server responded before the whole body was written, it would parse the rest as the
@@ -209,6 +229,7 @@
             pool: self.clone(),
             target,
         };
+        connection.received_bytes = 0;
         match framing {
             BodyFraming::Codec => {
                 let codec = connection.take_codec(&self.config);
@@ -256,6 +277,8 @@
         Ok(Connection {
             buffer: BytesMut::with_capacity(READ_BUFFER_BYTES),
             codec: ClientCodec::new(self.config.clone()),
+            informational_heads: 0,
+            received_bytes: 0,
             idle_since: Instant::now(),
             idle_timeout: IDLE_TIMEOUT_MAX,
             stream,
@@ -355,9 +378,21 @@
         loop {
             let decoded = self.codec.decode(&mut self.buffer);
             match decoded.map_err(ServerCallError::maybe_run)? {
-                Some(head) if head.status.is_informational() => {}
+                Some(head) if head.status.is_informational() => self.informational_heads += 1,
                 Some(head) => return Ok(head),
-                None => self.read_more().await?,
+                None => self.read_before_body().await?,
+            }
+            if self.informational_heads > INFORMATIONAL_HEADS_MAX {
+                return Err(ServerCallError::maybe_run(format!(
+                    "more than {INFORMATIONAL_HEADS_MAX} informational heads came before the \
+                     response; check the server"
+                )));
+            }
+            if self.buffer.len() > HEAD_MAX_BYTES {
+                // A read adds far less than this limit, so the bytes are one unfinished head.
+                return Err(ServerCallError::maybe_run(format!(
+                    "head of a response is larger than {HEAD_MAX_BYTES} bytes; check the server"
+                )));
             }
         }
     }
@@ -379,7 +414,7 @@
                     match decoded.map_err(ServerCallError::maybe_run)? {
                         Some(Some(_)) => {}
                         Some(None) => break,
-                        None => self.read_more().await?,
+                        None => self.read_before_body().await?,
                     }
                 }
                 self.codec = payload.into_message_codec();
@@ -388,11 +423,27 @@
         }
     }
 
+    /// Reads on in front of the body of the call's own response. Fails once a server has sent more
+    /// than [`BEFORE_BODY_MAX_BYTES`] there.
+    async fn read_before_body(&mut self) -> Result<(), ServerCallError> {
+        self.read_more().await?;
+        if self.received_bytes > BEFORE_BODY_MAX_BYTES {
+            return Err(ServerCallError::maybe_run(format!(
+                "more than {BEFORE_BODY_MAX_BYTES} bytes came before the response; check the \
+                 server"
+            )));
+        }
+        Ok(())
+    }
+
     async fn read_more(&mut self) -> Result<(), ServerCallError> {
         self.buffer.reserve(READ_BUFFER_BYTES);
         match self.stream.read_buf(&mut self.buffer).await {
             Ok(0) => Err(ServerCallError::maybe_run("closed by the server")),
-            Ok(_) => Ok(()),
+            Ok(count) => {
+                self.received_bytes += count;
+                Ok(())
+            }
             Err(error) => Err(ServerCallError::maybe_run(error)),
         }
     }
@@ -421,7 +472,10 @@
             }
             BodyDecoder::Codec(codec) => loop {
                 match codec.decode(&mut connection.buffer) {
-                    Ok(Some(Some(bytes))) => return Some(Ok(bytes)),
+                    Ok(Some(Some(bytes))) => {
+                        connection.received_bytes = 0;
+                        return Some(Ok(bytes));
+                    }
                     Ok(Some(None)) => {
                         self.put_back();
                         return None;
@@ -432,10 +486,30 @@
                 if let Err(error) = connection.read_more().await {
                     return Some(Err(error));
                 }
+                if connection.received_bytes > FRAMING_MAX_BYTES {
+                    return Some(Err(ServerCallError::maybe_run(format!(
+                        "more than {FRAMING_MAX_BYTES} bytes came between two parts of the body; \
+                         check the server"
+                    ))));
+                }
             },
         }
     }
 
+    /// Reads the rest of the body and drops it. Fails if it is larger than `max_bytes`.
+    pub async fn skip_rest(&mut self, max_bytes: usize) -> Result<(), ServerCallError> {
+        let mut skipped_bytes = 0;
+        while let Some(bytes) = self.next().await {
+            skipped_bytes += bytes?.len();
+            if skipped_bytes > max_bytes {
+                return Err(ServerCallError::maybe_run(format!(
+                    "body is larger than {max_bytes} bytes; check the server"
+                )));
+            }
+        }
+        Ok(())
+    }
+
     /// Closes the connection, which makes the server cancel the call. Has no effect if the whole
     /// body was read.
     pub fn close(&mut self) {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -33,6 +33,9 @@
 /// Part of the caller's timeout that is reserved for returning the response to the caller.
 const REPLY_MARGIN: Duration = Duration::from_millis(10);
 
+/// Maximum size of the body of a server's refusal.
+const REFUSAL_BODY_MAX_BYTES: usize = 64 << 10;
+
 /// Timeout for reading the body of a server's refusal; the body is short and arrives with the head.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -464,11 +467,11 @@
     }
 
     /// Reads the body of a refusal so that its connection can be reused. The connection is closed
-    /// if the body does not end in time.
+    /// if the body does not end in time or is too large.
     async fn drain_refusal(&self, mut body: ServerResponseBody) {
-        let reading = body.read_whole(BUFFERED_RESPONSE_MAX_BYTES);
-        match tokio::time::timeout(REFUSAL_BODY_TIMEOUT, reading).await {
-            Ok(Ok(_)) => {}
+        let skipping = body.skip_rest(REFUSAL_BODY_MAX_BYTES);
+        match tokio::time::timeout(REFUSAL_BODY_TIMEOUT, skipping).await {
+            Ok(Ok(())) => {}
             Ok(Err(error)) => self.log_attempt_failure("refusal-cut", &error.reason),
             Err(_) => self.log_attempt_failure("refusal-cut", "reading the body timed out"),
         }
