End event streams that send bytes but no events

Seen by callers: a stream of comments, of events without data, or of one event a few bytes at a time stayed on its server until the deadline (broken after 5.1 s), though another server could have resumed it. A stream whose event grew past 1 MiB was broken off and not resumed, and its error said that the request's body was too large.

Cause: the time without progress restarted with every read. The parser's limit counted only bytes that were still buffered, so comments passed it for ever, and relay treated the limit as an error of the caller.

Change: the parser counts the bytes since the last event that has data and rejects more than 1 MiB (Error::EventTooLarge, 502, outcome unknown). relay measures the time without progress from the last event with data that the caller took, and resumes a stream past either bound like a broken one: its server counts as broken, the connection is closed, and the retry budget applies.

--- a/src/error.rs
+++ b/src/error.rs
@@ -38,11 +38,10 @@
         /// What is wrong with the request and what to send instead.
         reason: String,
     },
-    /// The request body exceeds the size limit of the instance or policy, or received stream data
-    /// exceeds the maximum size of an event.
+    /// The request body exceeds the size limit of the instance or policy.
     #[snafu(display("request body exceeds {limit_bytes} bytes; send a smaller one"))]
     BodyTooLarge {
-        /// Maximum size in bytes that was exceeded, of a request body or of an event.
+        /// Maximum size in bytes that was exceeded.
         limit_bytes: usize,
     },
     /// A call with this idempotency key is running at another instance, or was interrupted there.
@@ -72,6 +71,17 @@
         /// Text of the HTTP client's error, or the unexpected status.
         reason: String,
     },
+    /// A backend server sent too many bytes without a complete event that has data.
+    #[snafu(display(
+        "stream sent {received_bytes} bytes without an event, {limit_bytes} are the most; check \
+         the server"
+    ))]
+    EventTooLarge {
+        /// Maximum number of bytes without an event.
+        limit_bytes: usize,
+        /// Number of bytes received since the last event that has data.
+        received_bytes: usize,
+    },
     /// The settings file, the table file or another file on this machine cannot be read.
     #[snafu(display("cannot read {path}: {reason}; check the path and its permissions"))]
     FileRead {
@@ -299,6 +309,7 @@
         match self {
             Self::CallInProgress
             | Self::CallMoved
+            | Self::EventTooLarge { .. }
             | Self::Invariant { .. }
             | Self::KeyOutsideWindow { .. }
             | Self::OutcomeUnknown { .. }
@@ -317,6 +328,7 @@
             Self::CallInProgress => (409, "call_in_progress"),
             Self::CallMoved => (503, "call_moved"),
             Self::ClaimUnavailable { .. } => (503, "claim_unavailable"),
+            Self::EventTooLarge { .. } => (502, "answer_lost"),
             Self::InvalidAdminKey => (401, "invalid_admin_key"),
             Self::KeyFormat => (400, "key_format"),
             Self::KeyOutsideWindow { .. } => (409, "key_outside_window"),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -28,6 +28,11 @@
     events: SseParser,
     exchange: Exchange,
     last_event_id: Option<SmolStr>,
+    /// Time at which the caller had taken the last event with data, or at which the current server
+    /// began to answer.
+    progress_at: TokioInstant,
+    /// Number of events with data at `progress_at`.
+    progress_events: u64,
     /// True once a stalled stream could not be moved to another server because the retry budget was
     /// exhausted; it then waits until the caller's deadline.
     waits_for_deadline: bool,
@@ -50,6 +55,8 @@
             events: SseParser::default(),
             exchange,
             last_event_id: None,
+            progress_at: TokioInstant::now(),
+            progress_events: 0,
             waits_for_deadline: false,
         };
         Box::pin(futures_util::stream::unfold(relay, Self::next))
@@ -59,6 +66,7 @@
         if self.ended {
             return None;
         }
+        self.record_progress();
         loop {
             if let Some(events) = self.drain_events() {
                 return Some((Ok(events), self));
@@ -98,12 +106,24 @@
                     return Some(self.finish_broken(error).await);
                 }
             };
-            if let Err(error) = self.events.push(&chunk) {
+            if let Err(error) = self.events.push(&chunk)
+                && let Err(error) = self.try_resume(error.to_string()).await
+            {
                 return Some(self.finish_broken(error).await);
             }
         }
     }
 
+    /// Restarts the time without progress if the caller has taken an event with data. Comments are
+    /// no progress: a server could send them for ever.
+    fn record_progress(&mut self) {
+        let events = self.events.data_events();
+        if events != self.progress_events {
+            self.progress_events = events;
+            self.progress_at = TokioInstant::now();
+        }
+    }
+
     /// Takes all whole events received so far, joined into one buffer.
     fn drain_events(&mut self) -> Option<Bytes> {
         let mut joined: Option<BytesMut> = None;
@@ -134,7 +154,7 @@
             return exchange.deadline;
         }
         let gap = exchange.route.gap_target.mul_f64(STALL_TIMEOUT_GAP_TARGETS);
-        (TokioInstant::now() + gap).min(exchange.deadline)
+        (self.progress_at + gap).min(exchange.deadline)
     }
 
     /// Resumes on another server if the stream is resumable and the retry budget allows it.
@@ -169,6 +189,7 @@
                 self.centre = attempt.placed.data_centre.clone();
                 self.attempt = Some(attempt);
                 self.body = response.body;
+                self.progress_at = TokioInstant::now();
                 Ok(())
             }
             AttemptResponse::Whole(..) => Err(self.exchange.lost_error(reason)),
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -2,17 +2,28 @@
 
 use super::*;
 
-/// Maximum number of bytes that are buffered, and so the maximum size of an event.
+/// Maximum number of bytes without an event that has data: the size of an event, of comments and of
+/// events without data before the next one.
 pub const EVENT_MAX_BYTES: usize = 1 << 20;
 
 /// Incremental parser that splits a byte stream into server-sent events.
 #[derive(Debug, Default)]
 pub struct SseParser {
     buffer: BytesMut,
+    /// Number of events with data that were taken.
+    data_events: u64,
+    /// Number of bytes received since the end of the last event with data.
+    eventless_bytes: usize,
     scanned: usize,
 }
 
 impl SseParser {
+    /// Returns the number of events with data that were taken so far. Comments, which keep a stream
+    /// open without advancing it, do not count.
+    pub fn data_events(&self) -> u64 {
+        self.data_events
+    }
+
     /// Returns true if bytes are left in the buffer. Once the caller has taken all whole events,
     /// they are the start of an event that has not fully arrived.
     pub fn has_partial(&self) -> bool {
@@ -22,14 +33,18 @@
     /// Discards a partial event, so that the parser can continue with the stream of another server.
     pub fn clear(&mut self) {
         self.buffer.clear();
+        self.eventless_bytes = 0;
         self.scanned = 0;
     }
 
-    /// Appends received bytes. Fails if more than [`EVENT_MAX_BYTES`] would be buffered.
+    /// Appends received bytes. Fails with [`Error::EventTooLarge`] if more than [`EVENT_MAX_BYTES`]
+    /// have been received without an event that has data.
     pub fn push(&mut self, bytes: &[u8]) -> Result {
-        if self.buffer.len() + bytes.len() > EVENT_MAX_BYTES {
-            return Err(Error::BodyTooLarge {
+        self.eventless_bytes += bytes.len();
+        if self.eventless_bytes > EVENT_MAX_BYTES {
+            return Err(Error::EventTooLarge {
                 limit_bytes: EVENT_MAX_BYTES,
+                received_bytes: self.eventless_bytes,
             });
         }
         self.buffer.extend_from_slice(bytes);
@@ -56,6 +71,10 @@
                 if rest.starts_with(end.as_bytes()) {
                     let event = self.buffer.split_to(at + end.len()).freeze();
                     self.scanned = 0;
+                    if has_data(&event) {
+                        self.data_events += 1;
+                        self.eventless_bytes = self.buffer.len();
+                    }
                     return Some(event);
                 }
             }
@@ -67,6 +86,13 @@
     }
 }
 
+/// Returns true if an event has a `data` line.
+fn has_data(event: &[u8]) -> bool {
+    event
+        .split(|byte| *byte == b'\n')
+        .any(|line| line.starts_with(b"data"))
+}
+
 /// Returns the value of the last `id` field of an event, or `None` if there is no such field or its
 /// value is not UTF-8.
 pub fn parse_event_id(event: &[u8]) -> Option<&str> {
--- /dev/null
+++ b/tests/decisions/sse.rs
@@ -0,0 +1,56 @@
+//! Event streams that never complete an event with data.
+
+use ebonyspread::error::Error;
+use ebonyspread::sse::EVENT_MAX_BYTES;
+use ebonyspread::sse::SseParser;
+
+/// Pushes `piece` until the parser rejects it or four times the limit was pushed; takes all events
+/// in between. Returns the number of bytes pushed and the rejection.
+fn push_without_end(parser: &mut SseParser, piece: &[u8]) -> (usize, Option<Error>) {
+    let mut pushed = 0;
+    while pushed < 4 * EVENT_MAX_BYTES {
+        if let Err(error) = parser.push(piece) {
+            return (pushed, Some(error));
+        }
+        pushed += piece.len();
+        while parser.next_event().is_some() {}
+    }
+    (pushed, None)
+}
+
+#[yare::parameterized(
+    comments = { b": still here\n\n" },
+    event_without_data = { b"event: ping\nid: 7\n\n" },
+    unfinished_event = { b"data: and so on" },
+    unfinished_line = { b"x" },
+)]
+fn stream_without_a_whole_event_is_rejected_at_the_limit(piece: &[u8]) {
+    let mut parser = SseParser::default();
+    let (pushed, error) = push_without_end(&mut parser, &piece.repeat(64));
+    assert!(pushed <= EVENT_MAX_BYTES, "{pushed}");
+    assert!(
+        matches!(error, Some(Error::EventTooLarge { .. })),
+        "{error:?}"
+    );
+    assert_eq!(parser.data_events(), 0);
+}
+
+#[test]
+fn long_stream_of_events_is_not_rejected() {
+    let mut parser = SseParser::default();
+    let event = format!(": note\n\nid: 1\ndata: {}\n\n", "x".repeat(1 << 10));
+    let (pushed, error) = push_without_end(&mut parser, event.as_bytes());
+    assert!(error.is_none(), "{error:?}");
+    assert_eq!(parser.data_events(), (pushed / event.len()) as u64);
+}
+
+#[test]
+fn cleared_parser_accepts_the_stream_of_another_server() {
+    let mut parser = SseParser::default();
+    push_without_end(&mut parser, b"data: cut");
+    parser.clear();
+    parser.push(b"id: 2\ndata: whole\n\n").unwrap();
+    let event = parser.next_event().unwrap();
+    assert_eq!(event.as_ref(), b"id: 2\ndata: whole\n\n");
+    assert!(!parser.has_partial());
+}
