Forward large responses as they arrive, and keep all bodies within one budget

Seen by callers: with 200 calls whose servers sent a body without end, the process grew to 1.36 GB and would be killed on a machine that allows 160 MB; 200 legitimate responses of 2 MiB took 161 MB. A response over 16 MiB was lost.

Cause: every response was kept whole, up to 16 MiB, then copied once more to be written, without a limit for all calls together.

Change: a body is kept up to 1 MiB and within a budget of 24 MiB for all calls (byte_budget, body_buffer); 16 KiB of each body need no budget. What is larger is forwarded as it arrives, at the caller's pace and with its stated length, up to 64 MiB and the deadline (pass_through). A body that breaks then closes the caller's connection, so it is never reported as whole; before, the caller got a 502 or another attempt. That still holds for bodies that are kept. A stated length over the limit is rejected at the head (502, may have run; logged with size and limit). Kept bodies are written in parts of 32 KiB.

Ruled out: a rejection of bodies for which no budget is left; the call has run, and its answer is good.

--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -496,6 +496,11 @@
         }
     }
 
+    /// Returns true if the body has been read to its end, or if there is none.
+    pub fn has_ended(&self) -> bool {
+        self.connection.is_none()
+    }
+
     /// Reads the rest of the body and drops it. Fails if it is larger than `max_bytes`.
     pub async fn skip_rest(&mut self, max_bytes: usize) -> Result<(), ServerCallError> {
         let mut skipped_bytes = 0;
@@ -517,20 +522,6 @@
         self.connection = None;
     }
 
-    /// Reads the whole body. Fails if it is larger than `max_bytes`.
-    pub async fn read_whole(&mut self, max_bytes: usize) -> Result<Bytes, ServerCallError> {
-        let mut whole = BytesMut::new();
-        while let Some(bytes) = self.next().await {
-            whole.extend_from_slice(&bytes?);
-            if whole.len() > max_bytes {
-                return Err(ServerCallError::maybe_run(format!(
-                    "response is larger than {max_bytes} bytes"
-                )));
-            }
-        }
-        Ok(whole.freeze())
-    }
-
     fn put_back(&mut self) {
         let Some(mut connection) = self.connection.take() else {
             return;
@@ -559,6 +550,20 @@
     }
 }
 
+/// Returns the size in bytes that the head of a response states for the body, or `None` if it states
+/// none.
+pub(crate) fn content_length(head: &ResponseHead) -> Option<u64> {
+    if head.headers().contains_key(TRANSFER_ENCODING) {
+        return None;
+    }
+    head.headers()
+        .get(CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
 /// Returns the idle timeout that a server advertises with `Keep-Alive: timeout=SECONDS`, or `None`
 /// if it advertises none.
 fn keep_alive_timeout(head: &ResponseHead) -> Option<Duration> {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -20,11 +20,12 @@
 use actix_http::body::BodyStream;
 use actix_http::body::BoxBody;
 use actix_http::body::MessageBody;
+use actix_http::body::SizedStream;
 use tokio::time::Instant as TokioInstant;
 use tokio::time::timeout_at;
 
-/// Maximum size of a response that is buffered before it is forwarded.
-const BUFFERED_RESPONSE_MAX_BYTES: usize = 16 << 20;
+/// Maximum size of the body of a response to a call other than an event stream.
+pub(crate) const RESPONSE_MAX_BYTES: usize = 64 << 20;
 
 /// Failed connection attempts after which a call is refused, since each one delays the caller by up
 /// to the connection timeout.
@@ -134,8 +135,9 @@
     TimedOut,
     /// The head of an event stream; the body follows.
     Stream(Attempt, Box<ServerResponse>),
-    /// A complete response, which may have an error status.
-    Whole(Attempt, Box<ResponseHead>, Bytes),
+    /// A response, which may have an error status; its body is whole or was read up to the limit
+    /// for kept bodies.
+    Whole(Attempt, Box<ResponseHead>, Box<KeptBody>),
 }
 
 /// Result of sending an attempt and waiting for the head of its response.
@@ -156,9 +158,17 @@
 impl Exchange {
     async fn run(mut self) -> Response<BoxBody> {
         match self.run_attempts(None).await {
-            Ok(AttemptResponse::Whole(attempt, head, body)) => {
+            Ok(AttemptResponse::Whole(attempt, head, body)) if body.rest.is_none() => {
                 self.log_finish("whole", head.status.as_u16(), &attempt.placed.server);
-                respond(&head, BoxBody::new(body))
+                respond(&head, BoxBody::new(body.kept))
+            }
+            Ok(AttemptResponse::Whole(attempt, head, body)) => {
+                let stream = PassThrough::start(self, attempt, head.status.as_u16(), *body);
+                let body = match content_length(&head) {
+                    Some(bytes) => SizedStream::new(bytes, stream).boxed(),
+                    None => BodyStream::new(stream).boxed(),
+                };
+                respond(&head, body)
             }
             Ok(AttemptResponse::Stream(attempt, response)) => {
                 let first_event = self.received_at.elapsed();
@@ -422,7 +432,7 @@
     async fn handle_response(
         &mut self,
         mut attempt: Attempt,
-        mut response: ServerResponse,
+        response: ServerResponse,
     ) -> Result<AttemptResult> {
         match self.serving.dialect.classify_response(&response.head) {
             ResponseKind::NotRun => {
@@ -449,11 +459,22 @@
         if is_stream && response.head.status == StatusCode::OK {
             return Ok(AttemptResult::Stream(attempt, Box::new(response)));
         }
-        let reading = response.body.read_whole(BUFFERED_RESPONSE_MAX_BYTES);
+        let body_bytes = content_length(&response.head).unwrap_or(0);
+        if !response.body.has_ended() && body_bytes > RESPONSE_MAX_BYTES as u64 {
+            attempt.outcome = AttemptOutcome::Broken;
+            return Ok(AttemptResult::Lost(too_large_reason(body_bytes)));
+        }
+        let reading = KeptBody::read(&self.serving.body_budget, response.body);
         match timeout_at(self.deadline, reading).await {
             Ok(Ok(body)) => {
-                attempt.outcome = AttemptOutcome::Completed;
-                Ok(AttemptResult::Whole(attempt, Box::new(response.head), body))
+                if body.rest.is_none() {
+                    attempt.outcome = AttemptOutcome::Completed;
+                }
+                Ok(AttemptResult::Whole(
+                    attempt,
+                    Box::new(response.head),
+                    Box::new(body),
+                ))
             }
             Ok(Err(error)) => {
                 attempt.outcome = AttemptOutcome::Broken;
@@ -576,9 +597,17 @@
     }
 }
 
-/// Response to be forwarded to the caller: an event stream whose body is still arriving, or a
-/// complete response.
+/// Response to be forwarded to the caller: an event stream whose body is still arriving, or another
+/// response, whose body is whole unless it is large.
 pub(crate) enum AttemptResponse {
     Stream(Attempt, Box<ServerResponse>),
-    Whole(Attempt, Box<ResponseHead>, Bytes),
+    Whole(Attempt, Box<ResponseHead>, Box<KeptBody>),
+}
+
+/// Reason, for the log, why a response is not forwarded, or not forwarded further.
+pub(crate) fn too_large_reason(body_bytes: u64) -> String {
+    format!(
+        "body of {body_bytes} bytes exceeds the limit of {RESPONSE_MAX_BYTES} bytes; check the \
+         server or split the response"
+    )
 }
--- /dev/null
+++ b/src/pass_through.rs
@@ -0,0 +1,96 @@
+//! Forwards a response that is too large to be kept whole: what was kept of its body, then the rest
+//! as it arrives and as fast as the caller reads it.
+
+use super::*;
+
+use futures_util::stream::LocalBoxStream;
+use tokio::time::timeout_at;
+
+/// Forwards the body of one response.
+pub(crate) struct PassThrough {
+    _in_flight: InFlightGuard,
+    attempt: Attempt,
+    body: KeptBody,
+    ended: bool,
+    exchange: Exchange,
+    forwarded_bytes: usize,
+    status: u16,
+}
+
+impl PassThrough {
+    /// Returns the body of the caller's response. The call counts as in flight until the returned
+    /// stream is dropped. The stream fails at the call's deadline, if the server's connection
+    /// breaks, and at [`RESPONSE_MAX_BYTES`]; the caller's connection is then closed, so that the
+    /// response cannot be mistaken for a complete one.
+    pub(crate) fn start(
+        exchange: Exchange,
+        attempt: Attempt,
+        status: u16,
+        body: KeptBody,
+    ) -> LocalBoxStream<'static, Result<Bytes>> {
+        let pass_through = Self {
+            _in_flight: InFlightGuard::new(&exchange.serving),
+            attempt,
+            body,
+            ended: false,
+            exchange,
+            forwarded_bytes: 0,
+            status,
+        };
+        Box::pin(futures_util::stream::unfold(pass_through, Self::next))
+    }
+
+    async fn next(mut self) -> Option<(Result<Bytes>, Self)> {
+        if self.ended {
+            return None;
+        }
+        if let Some(part) = self.body.kept.pop() {
+            self.forwarded_bytes += part.len();
+            return Some((Ok(part), self));
+        }
+        let rest = self.body.rest.as_mut()?;
+        let reason = match timeout_at(self.exchange.deadline, rest.next()).await {
+            Ok(Some(Ok(part))) => {
+                self.forwarded_bytes += part.len();
+                if self.forwarded_bytes <= RESPONSE_MAX_BYTES {
+                    return Some((Ok(part), self));
+                }
+                self.attempt.outcome = AttemptOutcome::Broken;
+                too_large_reason(self.forwarded_bytes as u64)
+            }
+            Ok(None) => {
+                self.attempt.outcome = AttemptOutcome::Completed;
+                let server = &self.attempt.placed.server;
+                self.exchange.log_finish("whole", self.status, server);
+                return None;
+            }
+            Ok(Some(Err(error))) => {
+                self.attempt.outcome = AttemptOutcome::Broken;
+                error.reason
+            }
+            // The caller may have read slowly, so this does not count against the server.
+            Err(_) => format!(
+                "body did not end before the deadline; {} bytes were forwarded",
+                self.forwarded_bytes
+            ),
+        };
+        Some(self.finish_broken(reason))
+    }
+
+    fn finish_broken(mut self, reason: String) -> (Result<Bytes>, Self) {
+        self.body.rest = None;
+        self.ended = true;
+        self.exchange.log_attempt_failure("lost", &reason);
+        let error = self.exchange.lost_error(reason);
+        warn!(
+            "finish request={} outcome=broken-body ms={} reason=\"{error}\"",
+            self.exchange.call.request_id,
+            self.exchange.received_at.elapsed().as_millis(),
+        );
+        self.exchange
+            .serving
+            .metrics
+            .outcome(Outcome::Unknown, error.status().1);
+        (Err(error), self)
+    }
+}
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -55,10 +55,16 @@
 /// the saved retries and those that the next window's calls add may be spent within one window.
 const RETRY_SAVED_FRACTION: f64 = 0.5;
 
+/// Memory in bytes for the kept starts of response bodies, of all calls together.
+const BODY_BUDGET_BYTES: usize = 24 << 20;
+
 /// State shared by the tasks of one instance, which all run on one thread.
 pub struct ServingState {
     /// Recent rate of accepted calls per second, to which the retry budget is adjusted.
     accepted_rate: RefCell<DecayingRate>,
+    /// Memory for the kept starts of response bodies; a body for which none is left is forwarded as
+    /// it arrives.
+    pub body_budget: Rc<ByteBudget>,
     /// Idle connections to backend servers, shared by all calls.
     pub connections: Rc<ConnectionPool>,
     /// Counts how often a data centre became unreachable or reachable again; wakes the tasks that
@@ -121,6 +127,7 @@
         };
         Self {
             accepted_rate: RefCell::default(),
+            body_budget: ByteBudget::new(BODY_BUDGET_BYTES),
             connections: Rc::default(),
             cut_off_changes: watch::Sender::new(0),
             dialect,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -4,8 +4,12 @@
 
 #[path = "decisions/answer_timeout.rs"]
 mod answer_timeout;
+#[path = "decisions/body_buffer.rs"]
+mod body_buffer;
 #[path = "decisions/budget.rs"]
 mod budget;
+#[path = "decisions/byte_budget.rs"]
+mod byte_budget;
 #[path = "decisions/capacity.rs"]
 mod capacity;
 #[path = "decisions/fleet.rs"]
