Keep the unfinished events of all streams within one budget

Seen: 200 streams whose servers sent 960 KiB of an event and then a few bytes at a time took 222,547,968 bytes of memory, more than the 160 MB of the smallest machines. Each was within the limit of an event.

Cause: the limit of 1 MiB holds per stream; nothing bounded the streams together.

Change: relay's parsers take their buffers from a budget of 8 MiB (byte_budget), 16 KiB of each stream excepted. A stream for which none is left is broken off and resumed like a broken one (Error::EventBudgetSpent, 502, outcome unknown). The parser looks for line feeds instead of comparing two delimiters at every byte; a blank line after CRLF or LF ends an event, as before, and now also where the two are mixed.

--- a/src/error.rs
+++ b/src/error.rs
@@ -71,6 +71,15 @@
         /// Text of the HTTP client's error, or the unexpected status.
         reason: String,
     },
+    /// The memory for unfinished events of all streams is in use.
+    #[snafu(display(
+        "memory for unfinished events is in use, no more than {buffered_bytes} bytes of this one \
+         can be kept; check the servers for events without end"
+    ))]
+    EventBudgetSpent {
+        /// Number of bytes of the event that had been received.
+        buffered_bytes: usize,
+    },
     /// A backend server sent too many bytes without a complete event that has data.
     #[snafu(display(
         "stream sent {received_bytes} bytes without an event, {limit_bytes} are the most; check \
@@ -309,6 +318,7 @@
         match self {
             Self::CallInProgress
             | Self::CallMoved
+            | Self::EventBudgetSpent { .. }
             | Self::EventTooLarge { .. }
             | Self::Invariant { .. }
             | Self::KeyOutsideWindow { .. }
@@ -328,7 +338,7 @@
             Self::CallInProgress => (409, "call_in_progress"),
             Self::CallMoved => (503, "call_moved"),
             Self::ClaimUnavailable { .. } => (503, "claim_unavailable"),
-            Self::EventTooLarge { .. } => (502, "answer_lost"),
+            Self::EventBudgetSpent { .. } | Self::EventTooLarge { .. } => (502, "answer_lost"),
             Self::InvalidAdminKey => (401, "invalid_admin_key"),
             Self::KeyFormat => (400, "key_format"),
             Self::KeyOutsideWindow { .. } => (409, "key_outside_window"),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -46,13 +46,14 @@
         attempt: Attempt,
         body: ServerResponseBody,
     ) -> LocalBoxStream<'static, Result<Bytes>> {
+        let reservation = ByteReservation::new(exchange.serving.event_budget.clone());
         let relay = Self {
             _in_flight: InFlightGuard::new(&exchange.serving),
             body,
             centre: attempt.placed.data_centre.clone(),
             attempt: Some(attempt),
             ended: false,
-            events: SseParser::default(),
+            events: SseParser::with_reservation(reservation),
             exchange,
             last_event_id: None,
             progress_at: TokioInstant::now(),
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -58,6 +58,10 @@
 /// Memory in bytes for the kept starts of response bodies, of all calls together.
 const BODY_BUDGET_BYTES: usize = 24 << 20;
 
+/// Memory in bytes for unfinished events of streams, of all calls together. Growing buffers take up
+/// to twice as much.
+const EVENT_BUDGET_BYTES: usize = 8 << 20;
+
 /// State shared by the tasks of one instance, which all run on one thread.
 pub struct ServingState {
     /// Recent rate of accepted calls per second, to which the retry budget is adjusted.
@@ -75,6 +79,8 @@
     pub dialect: Box<dyn Dialect>,
     /// True while the instance is stopping; it then reports that it is not ready.
     pub draining: Cell<bool>,
+    /// Memory for unfinished events of streams; a stream for which none is left is broken off.
+    pub event_budget: Rc<ByteBudget>,
     /// Number of changes applied to `feeds`; wakes reads of peers that wait for one.
     pub feed_changes: watch::Sender<u64>,
     /// Copies of topics of the log, by topic name, for peers that read them from this instance.
@@ -132,6 +138,7 @@
             cut_off_changes: watch::Sender::new(0),
             dialect,
             draining: Cell::new(false),
+            event_budget: ByteBudget::new(EVENT_BUDGET_BYTES),
             feed_changes: watch::Sender::new(0),
             feeds: RefCell::default(),
             first_usage_window: window_of(unix, settings.usage_window),
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -6,6 +6,10 @@
 /// events without data before the next one.
 pub const EVENT_MAX_BYTES: usize = 1 << 20;
 
+/// Number of buffered bytes of one stream that need no reservation, so that streams of small events
+/// are not affected by others.
+const EVENT_UNRESERVED_BYTES: usize = 16 << 10;
+
 /// Incremental parser that splits a byte stream into server-sent events.
 #[derive(Debug, Default)]
 pub struct SseParser {
@@ -14,10 +18,20 @@
     data_events: u64,
     /// Number of bytes received since the end of the last event with data.
     eventless_bytes: usize,
+    /// Share of a budget for the buffers of many streams; `None` if this one has no such budget.
+    reservation: Option<ByteReservation>,
     scanned: usize,
 }
 
 impl SseParser {
+    /// Creates a parser whose buffer takes its bytes from the budget of `reservation`.
+    pub fn with_reservation(reservation: ByteReservation) -> Self {
+        Self {
+            reservation: Some(reservation),
+            ..Self::default()
+        }
+    }
+
     /// Returns the number of events with data that were taken so far. Comments, which keep a stream
     /// open without advancing it, do not count.
     pub fn data_events(&self) -> u64 {
@@ -32,13 +46,16 @@
 
     /// Discards a partial event, so that the parser can continue with the stream of another server.
     pub fn clear(&mut self) {
-        self.buffer.clear();
+        self.buffer = BytesMut::new();
         self.eventless_bytes = 0;
         self.scanned = 0;
+        // No bytes always fit.
+        let _ = self.reserve();
     }
 
     /// Appends received bytes. Fails with [`Error::EventTooLarge`] if more than [`EVENT_MAX_BYTES`]
-    /// have been received without an event that has data.
+    /// have been received without an event that has data, and with [`Error::EventBudgetSpent`] if
+    /// the budget has too few bytes left for the buffer.
     pub fn push(&mut self, bytes: &[u8]) -> Result {
         self.eventless_bytes += bytes.len();
         if self.eventless_bytes > EVENT_MAX_BYTES {
@@ -48,7 +65,12 @@
             });
         }
         self.buffer.extend_from_slice(bytes);
-        Ok(())
+        match self.reserve() {
+            true => Ok(()),
+            false => Err(Error::EventBudgetSpent {
+                buffered_bytes: self.buffer.len(),
+            }),
+        }
     }
 
     /// Takes the data of the next whole event; events without data are skipped.
@@ -65,25 +87,35 @@
     /// Takes the next whole event as it was received, with the blank line that ends it.
     pub fn next_event(&mut self) -> Option<Bytes> {
         let mut at = self.scanned;
-        while at < self.buffer.len() {
-            let rest = &self.buffer[at..];
-            for end in ["\n\n", "\r\n\r\n"] {
-                if rest.starts_with(end.as_bytes()) {
-                    let event = self.buffer.split_to(at + end.len()).freeze();
-                    self.scanned = 0;
-                    if has_data(&event) {
-                        self.data_events += 1;
-                        self.eventless_bytes = self.buffer.len();
-                    }
-                    return Some(event);
-                }
+        while let Some(offset) = self.buffer[at..].iter().position(|byte| *byte == b'\n') {
+            at += offset + 1;
+            let end = match &self.buffer[at..] {
+                [b'\n', ..] => at + 1,
+                [b'\r', b'\n', ..] => at + 2,
+                _ => continue,
+            };
+            let event = self.buffer.split_to(end).freeze();
+            self.scanned = 0;
+            if has_data(&event) {
+                self.data_events += 1;
+                self.eventless_bytes = self.buffer.len();
             }
-            at += 1;
+            return Some(event);
         }
         // The buffer may end within a delimiter, the longest of which has four bytes.
         self.scanned = self.buffer.len().saturating_sub(3);
+        // The buffer has not grown since the last push.
+        let _ = self.reserve();
         None
     }
+
+    fn reserve(&mut self) -> bool {
+        let bytes = self.buffer.len().saturating_sub(EVENT_UNRESERVED_BYTES);
+        match &mut self.reservation {
+            Some(reservation) => reservation.resize(bytes),
+            None => true,
+        }
+    }
 }
 
 /// Returns true if an event has a `data` line.
--- a/tests/decisions/sse.rs
+++ b/tests/decisions/sse.rs
@@ -1,5 +1,7 @@
 //! Event streams that never complete an event with data.
 
+use ebonyspread::byte_budget::ByteBudget;
+use ebonyspread::byte_budget::ByteReservation;
 use ebonyspread::error::Error;
 use ebonyspread::sse::EVENT_MAX_BYTES;
 use ebonyspread::sse::SseParser;
@@ -54,3 +56,48 @@
     assert_eq!(event.as_ref(), b"id: 2\ndata: whole\n\n");
     assert!(!parser.has_partial());
 }
+
+#[test]
+fn unfinished_events_of_many_streams_stay_within_the_budget() {
+    const BUDGET_BYTES: usize = 1 << 20;
+    let budget = ByteBudget::new(BUDGET_BYTES);
+    let mut parsers = Vec::new();
+    let mut rejected = 0;
+    for _ in 0..200 {
+        let mut parser = SseParser::with_reservation(ByteReservation::new(budget.clone()));
+        for _ in 0..10 {
+            match parser.push(&[b'x'; 10_000]) {
+                Ok(()) => {}
+                Err(Error::EventBudgetSpent { .. }) => {
+                    rejected += 1;
+                    parser.clear();
+                    break;
+                }
+                Err(error) => panic!("{error}"),
+            }
+        }
+        parsers.push(parser);
+    }
+    assert_eq!(budget.free_bytes() / 100_000, 0);
+    assert!(rejected > 180, "{rejected}");
+    // A stream of small events needs no budget.
+    let mut parser = SseParser::with_reservation(ByteReservation::new(budget.clone()));
+    parser.push(&[b'x'; 10_000]).unwrap();
+    drop(parsers);
+    assert_eq!(budget.free_bytes(), BUDGET_BYTES);
+}
+
+#[yare::parameterized(
+    line_feeds = { "data: a\n\n" },
+    carriage_returns = { "data: a\r\n\r\n" },
+)]
+fn event_is_found_wherever_the_stream_is_divided(event: &str) {
+    for middle in 1..event.len() {
+        let mut parser = SseParser::default();
+        parser.push(&event.as_bytes()[..middle]).unwrap();
+        assert!(parser.next_event().is_none());
+        parser.push(&event.as_bytes()[middle..]).unwrap();
+        assert_eq!(parser.next_event().unwrap().as_ref(), event.as_bytes());
+        assert!(!parser.has_partial());
+    }
+}
