Limit whole exchanges with servers and the platform, not only their heads

Seen: a load report, a refusal of a model call, the body of an order's answer and an answer of the log that came a byte at a time were read as long as the server sent. One such load report ended all polls of load, since the poller waits for each of a round.

Cause: the HTTP client's timeout ends with the head of a response; after it, only the size of a body was limited.

Change: Dispatcher::fetch and both calls of LogClient are limited as a whole by the timeouts that they had. A refusal's body that does not end within 1 s is left out, as a too large one is. The body of an order's answer may take as long as the route allows for its head; past that the answer is lost and may have run.

Ruled out: platform/src/store.rs and cloud.rs already limit the whole exchange.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -30,9 +30,12 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(15);
 
 /// Maximum size of the body of an error response or of a small document such as a load report. A
-/// larger document is an error; a larger error body is left out.
+/// larger document is an error; an error body that is larger or does not end in time is left out.
 const SMALL_BODY_MAX_BYTES: usize = 64 << 10;
 
+/// Timeout for reading the body of an error response, which arrives with its head.
+const ERROR_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Response header with which a leaving backend server (one that is about to be stopped) refuses a
 /// call.
 const LEAVING_HEADER: &str = "x-leaving";
@@ -179,8 +182,22 @@
     }
 
     /// Fetches a small document, such as a load report or the result of a lookup, and returns its
-    /// status and body. Any status is a success.
+    /// status and body. Any status is a success. `timeout` covers the whole exchange.
     pub async fn fetch(&self, url: &str, timeout: Duration) -> Result<(u16, Bytes), AttemptError> {
+        match tokio::time::timeout(timeout, self.fetch_document(url, timeout)).await {
+            Ok(fetched) => fetched,
+            Err(_) => Err(AttemptError {
+                failure: Failure::Broken,
+                reason: format!("{url} did not end within {} ms", timeout.as_millis()),
+            }),
+        }
+    }
+
+    async fn fetch_document(
+        &self,
+        url: &str,
+        timeout: Duration,
+    ) -> Result<(u16, Bytes), AttemptError> {
         let request = self.pooled.get(url).timeout(timeout);
         let mut response = match request.send().await {
             Ok(response) => response,
@@ -264,9 +281,9 @@
         impl Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
     >,
 ) -> Bytes {
-    response
-        .body()
-        .limit(SMALL_BODY_MAX_BYTES)
-        .await
-        .unwrap_or_default()
+    let reading = response.body().limit(SMALL_BODY_MAX_BYTES);
+    match tokio::time::timeout(ERROR_BODY_TIMEOUT, reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) | Err(_) => Bytes::new(),
+    }
 }
--- a/src/log_client.rs
+++ b/src/log_client.rs
@@ -113,14 +113,17 @@
             encoded.push(BASE64_STANDARD.encode(record.encode_to_vec()));
         }
         let url = format!("{}/log/{stream}", self.platform_url);
-        let request = self.client.post(url).timeout(APPEND_TIMEOUT);
         let body = AppendBody { records: encoded };
-        let mut response = request.send_json(&body).await.map_err(log_error)?;
-        if !response.status().is_success() {
-            return Err(log_error(format!("append: status {}", response.status())));
-        }
-        let answer: AppendAnswer = response.json().await.map_err(log_error)?;
-        Ok(answer.first_offset)
+        let exchange = async {
+            let request = self.client.post(url).timeout(APPEND_TIMEOUT);
+            let mut response = request.send_json(&body).await.map_err(log_error)?;
+            if !response.status().is_success() {
+                return Err(log_error(format!("append: status {}", response.status())));
+            }
+            let answer: AppendAnswer = response.json().await.map_err(log_error)?;
+            Ok(answer.first_offset)
+        };
+        within(APPEND_TIMEOUT, exchange).await
     }
 
     /// Reads records from offset `from` on. If there are none yet, the service waits up to `wait`
@@ -131,16 +134,17 @@
             self.platform_url,
             wait.as_millis()
         );
-        let request = self.client.get(url).timeout(wait + READ_TIMEOUT_MARGIN);
-        let mut response = request.send().await.map_err(log_error)?;
-        if !response.status().is_success() {
-            return Err(log_error(format!("read: status {}", response.status())));
-        }
-        let answer: ReadAnswer = response
-            .json()
-            .limit(READ_MAX_BYTES)
-            .await
-            .map_err(log_error)?;
+        let timeout = wait + READ_TIMEOUT_MARGIN;
+        let exchange = async {
+            let request = self.client.get(url).timeout(timeout);
+            let mut response = request.send().await.map_err(log_error)?;
+            if !response.status().is_success() {
+                return Err(log_error(format!("read: status {}", response.status())));
+            }
+            let reading = response.json::<ReadAnswer>().limit(READ_MAX_BYTES);
+            reading.await.map_err(log_error)
+        };
+        let answer = within(timeout, exchange).await?;
         let mut entries = Vec::with_capacity(answer.records.len());
         for record in answer.records {
             entries.push(LogEntry {
@@ -158,6 +162,17 @@
     }
 }
 
+/// Limits an exchange, whose client limits only the time until the head of the answer.
+async fn within<T>(timeout: Duration, exchange: impl Future<Output = Result<T>>) -> Result<T> {
+    match tokio::time::timeout(timeout, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(log_error(format!(
+            "the answer did not end within {} ms",
+            timeout.as_millis()
+        ))),
+    }
+}
+
 fn decode(data: &str) -> Option<wire::LogRecord> {
     let bytes = BASE64_STANDARD.decode(data).ok()?;
     wire::LogRecord::decode(bytes.as_slice()).ok()
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -303,13 +303,22 @@
         }
     }
 
-    /// Buffers the whole response and keeps it for the reply.
+    /// Buffers the whole response and keeps it for the reply. The body may take as long as the head.
     async fn buffer_response(
         &mut self,
         response: PlainResponse,
     ) -> Result<AtMostOnceEvent, AttemptError> {
         let (status, headers) = (response.status, response.headers.clone());
-        let body = read_response_body(response).await?;
+        let timeout = self.request.route.timeout;
+        let body = match tokio::time::timeout(timeout, read_response_body(response)).await {
+            Ok(read) => read?,
+            Err(_) => {
+                return Err(AttemptError {
+                    failure: Failure::Broken,
+                    reason: format!("body did not end within {} ms", timeout.as_millis()),
+                });
+            }
+        };
         let content_type = headers.get("content-type");
         let content_type = content_type
             .and_then(|value| value.to_str().ok())
--- /dev/null
+++ b/tests/endless.rs
@@ -0,0 +1,119 @@
+//! Responses of backend servers and of the platform that never end: each read of the product's own
+//! interface ends in time.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use ebonyspread::dispatch::Dispatcher;
+use ebonyspread::log_client::LogClient;
+use support::*;
+
+/// Maximum time for which a stand-in sends one response.
+const ENDLESS_MAX_TIME: Duration = Duration::from_secs(40);
+
+/// Pause between two pieces of a response.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Starts a server that sends `head` for every request, then `first`, then `piece` again and again.
+fn start_endless(head: &'static str, first: &'static str, piece: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || send_endless(stream, head, first, piece));
+        }
+    });
+    address
+}
+
+fn send_endless(mut stream: TcpStream, head: &str, first: &str, piece: &str) {
+    let mut request = [0; 4 << 10];
+    if stream.read(&mut request).unwrap_or(0) == 0 {
+        return;
+    }
+    let chunk = |content: &str| format!("{:x}\r\n{content}\r\n", content.len());
+    let first = chunk(first);
+    let start = format!("HTTP/1.1 {head}\r\nTransfer-Encoding: chunked\r\n\r\n{first}");
+    if stream.write_all(start.as_bytes()).is_err() {
+        return;
+    }
+    let chunk = chunk(piece);
+    let started_at = Instant::now();
+    while started_at.elapsed() < ENDLESS_MAX_TIME && stream.write_all(chunk.as_bytes()).is_ok() {
+        thread::sleep(PAUSE);
+    }
+}
+
+/// Starts a cluster in which one server that never ends its responses serves all calls.
+fn start_cluster(head: &'static str, first: &'static str, piece: &'static str) -> TestCluster {
+    let address = start_endless(head, first, piece);
+    let cluster = TestClusterBuilder::default().engines(0).start();
+    let mut table = cluster.table.clone();
+    let server = table.backend_server.first_mut().unwrap();
+    server.address = address.to_string();
+    server.serves.push(format!("{MODEL}@v1"));
+    let version = publish_table(&cluster.platform_url, &table);
+    cluster.wait_for_version(version);
+    cluster
+}
+
+#[test]
+fn endless_document_does_not_hold_its_reader() {
+    let address = start_endless("200 OK", " ", " ");
+    let started_at = Instant::now();
+    let fetched = block_on(async {
+        let dispatcher = Dispatcher::new();
+        let url = format!("http://{address}/load");
+        dispatcher.fetch(&url, Duration::from_millis(300)).await
+    });
+    assert!(fetched.is_err());
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < Duration::from_secs(2), "{elapsed:?}");
+}
+
+#[test]
+fn endless_answer_of_the_log_does_not_hold_its_reader() {
+    let address = start_endless("200 OK\r\nContent-Type: application/json", " ", " ");
+    let started_at = Instant::now();
+    let (appended, read) = block_on(async {
+        let log = LogClient::new(&format!("http://{address}"));
+        let append = log.append("table", &[]);
+        let read = log.read("table", 0, Duration::ZERO);
+        futures_util::future::join(append, read).await
+    });
+    assert!(appended.is_err());
+    assert!(read.is_err());
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < Duration::from_secs(6), "{elapsed:?}");
+}
+
+#[yare::parameterized(
+    order = { "/orders/7", "200 OK", "x", "x", 6 },
+    refused_model_call = { "/v1/chat/completions", "400 Bad Request", "x", "x", 6 },
+)]
+fn endless_response_does_not_hold_its_call(
+    path: &str,
+    head: &'static str,
+    first: &'static str,
+    piece: &'static str,
+    limit_s: u64,
+) {
+    let cluster = start_cluster(head, first, piece);
+    let url = cluster.url(0, path);
+    let body = chat_body("quote", false, 20);
+    let started_at = Instant::now();
+    let reply = block_on(try_send("POST", &url, &[bearer("quayside")], body));
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < Duration::from_secs(limit_s), "{elapsed:?}");
+    assert!(reply.unwrap().status >= 400);
+}
