Move a model call whose engine sends only comments

Seen by callers: after the first token, an engine that sent comments, or an event a few bytes at a time, held its call for ever; the time without an event restarted with every read. Unfinished events of many calls together had no limit of memory.

Change: the time without an event counts from the last event with data, 10 s as before, and 60 s for the first. The parsers of one thread share a budget of 8 MiB for unfinished events, 16 KiB of each excepted.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 use std::io::ErrorKind;
 use std::pin::Pin;
+use std::rc::Rc;
 
 use actix_web::http::Method;
 use actix_web::http::header::HeaderMap;
@@ -36,6 +37,10 @@
 /// Timeout for reading the body of an error response, which arrives with its head.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Memory in bytes for unfinished events of engines' streams, of all calls of one thread together.
+/// Growing buffers take up to twice as much.
+const EVENT_BUDGET_BYTES: usize = 8 << 20;
+
 /// Response header with which a leaving backend server (one that is about to be stopped) refuses a
 /// call.
 const LEAVING_HEADER: &str = "x-leaving";
@@ -69,6 +74,8 @@
 
 /// HTTP clients of one thread.
 pub struct Dispatcher {
+    /// Memory for unfinished events of engines' streams; a stream for which none is left fails.
+    pub event_budget: Rc<ByteBudget>,
     /// Reuses connections, for calls that may be repeated.
     pooled: Client,
     /// Opens a connection for each call. On a reused connection that the server has just closed,
@@ -97,6 +104,7 @@
     /// Creates the HTTP clients of the current thread; they cannot be used from another one.
     pub fn new() -> Self {
         Self {
+            event_budget: ByteBudget::new(EVENT_BUDGET_BYTES),
             pooled: build_client(KEEP_ALIVE),
             unpooled: build_client(Duration::ZERO),
         }
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -11,7 +11,9 @@
 
 use std::rc::Rc;
 
+use tokio::time::Instant as TokioInstant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 /// Maximum number of events buffered for a slow caller; while the buffer is full, the call does not
 /// read from the engine.
@@ -20,7 +22,8 @@
 /// A caller whose buffer of events stays full for this long is detached.
 const SLOW_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// An attempt fails if the engine sends nothing for this long in the middle of a stream.
+/// An attempt fails if the engine sends no event with data for this long in the middle of a stream;
+/// comments do not count.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Maximum time between the head of the engine's response and its first event.
@@ -359,17 +362,20 @@
             Err(outcome) => return outcome,
         };
         let resumed_tokens = self.state.tokens();
-        let mut parser = SseParser::default();
+        let reservation = ByteReservation::new(self.dispatcher.event_budget.clone());
+        let mut parser = SseParser::with_reservation(reservation);
         let mut idle = FIRST_EVENT_TIMEOUT;
+        let mut event_at = TokioInstant::now();
         loop {
             while let Some(data) = parser.next_data() {
-                idle = IDLE_TIMEOUT;
                 if let Some(outcome) = self.handle_event(placement, &data, resumed_tokens).await {
                     return outcome;
                 }
+                idle = IDLE_TIMEOUT;
+                event_at = TokioInstant::now();
             }
             let next = tokio::select! {
-                next = timeout(idle, response.next()) => next,
+                next = timeout_at(event_at + idle, response.next()) => next,
                 Some(control) = self.control.recv() => {
                     if self.handle_control(control).await {
                         return AttemptOutcome::HandedOver;
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -24,6 +24,9 @@
 /// Pause between two pieces of a response.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// First event of a model's stream.
+const FIRST_EVENT: &str = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+
 /// Starts a server that sends `head` for every request, then `first`, then `piece` again and again.
 fn start_endless(head: &'static str, first: &'static str, piece: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -100,6 +103,7 @@
 #[yare::parameterized(
     order = { "/orders/7", "200 OK", "x", "x", 6 },
     refused_model_call = { "/v1/chat/completions", "400 Bad Request", "x", "x", 6 },
+    stream_of_comments = { "/v1/chat/completions", "200 OK", FIRST_EVENT, ": note\n\n", 15 },
 )]
 fn endless_response_does_not_hold_its_call(
     path: &str,
