Give connections to servers a receive buffer of fixed size

Seen: while 200 callers did not read, the kernel held some 75 MB that their servers had sent and the process had not read; with the process's own memory that was 137,625,004 bytes. The platform charges these bytes to the process.

Cause: the kernel grows a receive buffer to several MiB as long as the sender is ahead.

Change: connections of connection_pool have a receive buffer of 128 KiB, which the kernel rounds up; a server then waits for the caller. A platform that refuses the option leaves the buffer as it was.

Not measured: throughput over long links, where the buffer allows 128 KiB or somewhat more per round trip.

--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -21,6 +21,7 @@
 use actix_http::header::TRANSFER_ENCODING;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
@@ -42,6 +43,11 @@
 /// Free space in bytes that is made in the buffer before each read from a connection.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
+/// Size of the receive buffer of a connection. Received bytes that have not been read are charged to
+/// the process on some platforms; without a fixed size, the buffer would grow to several MiB while a
+/// caller reads slowly.
+const RECEIVE_BUFFER_BYTES: u32 = 128 << 10;
+
 /// Maximum size of the head of a response. A server that sends more without ending it is faulty.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 
@@ -265,7 +271,15 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, ServerCallError> {
-        let connecting = TcpStream::connect(address);
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4(),
+            SocketAddr::V6(_) => TcpSocket::new_v6(),
+        };
+        let socket = socket.map_err(ServerCallError::not_sent)?;
+        if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+            debug!("connect address={address}: receive buffer has no fixed size: {error}");
+        }
+        let connecting = socket.connect(address);
         let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(ServerCallError::not_sent(error)),
