--- a/src/relay.rs
+++ b/src/relay.rs
@@ -32,6 +32,11 @@
     last_event_id: Option<SmolStr>,
     /// Time from which the stream may be moved because its data centre seems cut off.
     move_at: TokioInstant,
+    /// Time at which the caller had taken the last event with data, or at which the current server
+    /// began to answer.
+    progress_at: TokioInstant,
+    /// Number of events with data at `progress_at`.
+    progress_events: u64,
     /// Whether a retry was allowed after the last interruption, or which limit denied it; `None` if
     /// none was requested.
     retry: Option<Result<(), RetryDenied>>,
@@ -52,17 +57,20 @@
     ) -> LocalBoxStream<'static, Result<Bytes>> {
         let server = attempt.placed.server.clone();
         exchange.trace.stage.set(CallStage::Stream);
+        let reservation = ByteReservation::new(exchange.serving.event_budget.clone());
         let relay = Self {
             _in_flight: InFlightGuard::new(&exchange.serving),
             body,
             centre: attempt.placed.data_centre.clone(),
             attempt: Some(attempt),
             ended: false,
-            events: SseParser::default(),
+            events: SseParser::with_reservation(reservation),
             exchange,
             interruption: Interruption::Broken,
             last_event_id: None,
             move_at: TokioInstant::now(),
+            progress_at: TokioInstant::now(),
+            progress_events: 0,
             retry: None,
             server,
             waits_for_deadline: false,
@@ -74,6 +82,7 @@
         if self.ended {
             return None;
         }
+        self.record_progress();
         loop {
             if let Some(events) = self.drain_events() {
                 return Some((Ok(events), self));
@@ -122,13 +131,26 @@
                 }
             };
             record_received(&self.exchange.serving, &self.centre, &self.server);
-            if let Err(error) = self.events.push(&chunk) {
-                self.set_interruption(Interruption::Malformed, None);
+            if let Err(error) = self.events.push(&chunk)
+                && let Err(error) = self
+                    .try_resume(Interruption::Malformed, error.to_string())
+                    .await
+            {
                 return Some(self.finish_broken(error).await);
             }
         }
     }
 
+    /// Restarts the time without progress if the caller has taken an event with data. Comments are
+    /// no progress: a server could send them for ever.
+    fn record_progress(&mut self) {
+        let events = self.events.data_events();
+        if events != self.progress_events {
+            self.progress_events = events;
+            self.progress_at = TokioInstant::now();
+        }
+    }
+
     /// Takes all whole events received so far, joined into one buffer.
     fn drain_events(&mut self) -> Option<Bytes> {
         let mut joined: Option<BytesMut> = None;
@@ -167,7 +189,7 @@
             return exchange.deadline;
         }
         let gap = exchange.route.gap_target.mul_f64(STALL_TIMEOUT_GAP_TARGETS);
-        (TokioInstant::now() + gap).min(exchange.deadline)
+        (self.progress_at + gap).min(exchange.deadline)
     }
 
     /// Resumes on another server if the stream is resumable and the retry budget allows it.
@@ -213,6 +235,7 @@
                 self.attempt = Some(attempt);
                 self.body = response.body;
                 self.waits_for_deadline = false;
+                self.progress_at = TokioInstant::now();
                 Ok(())
             }
             AttemptResponse::Whole(..) => Err(self.exchange.lost_error(reason)),
