Report a call as unknown once a server may have run it

Callers of model calls and of idempotent plain calls got 503 with outcome "not-run" after a server had crashed while it ran their call: with no retry left (retry_budget_spent), with no other server left (no_backend_server), or 422 content_quarantined for the call that had just crashed two servers. A 4xx of the next engine was forwarded as "not-run" too.

Cause: the outcome was derived from the error that ended the attempts, not from the attempts. Ruled out: calls that run at most once, which are sent again only if the last server cannot have run them.

A call now remembers that it may have run: an attempt broke or was answered with an error status, a stream was opened, or another instance handed the call over. Its end is then 502 answer_lost with outcome "unknown"; the reason names what ended the attempts.

Measured: the five cases of call_that_a_crashed_server_may_have_run_is_not_reported_as_not_run failed before with (503, "not-run") and (422, "not-run"), and call_rejected_after_a_crash_is_not_reported_as_not_run with (400, "not-run"), against (502, "unknown") expected. All pass now. An engine's 429 counts as "may have run" as well, like other error statuses.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -69,6 +69,7 @@
         control: control_receiver,
         dispatcher: worker.dispatcher.clone(),
         has_key: join.key.is_some(),
+        may_have_run: moved.is_some(),
         request: join.chat,
         sink: Some((join.from, join.sink)),
         state: moved.unwrap_or_else(|| CallState {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -64,6 +64,17 @@
     pub reason: String,
 }
 
+impl AttemptError {
+    /// Returns true if the server may have run the call, for an attempt that failed before its
+    /// response began.
+    pub fn may_have_run(&self) -> bool {
+        match self.failure {
+            Failure::Broken | Failure::Status => true,
+            Failure::Connect | Failure::Leaving => false,
+        }
+    }
+}
+
 /// HTTP clients of one thread.
 pub struct Dispatcher {
     /// Reuses connections, for calls that may be repeated.
--- a/src/error.rs
+++ b/src/error.rs
@@ -367,6 +367,18 @@
         }
     }
 
+    /// Converts the error that ended a call which may have run, where `reason` is why its last
+    /// attempt, at `server`, failed: "not run" becomes [`Error::ResponseLost`].
+    pub fn after_lost_attempt(self, server: &ServerName, reason: &str) -> Self {
+        match self.outcome() {
+            Outcome::Unknown | Outcome::Whole => self,
+            Outcome::NotRun => Self::ResponseLost {
+                server: server.clone(),
+                reason: format!("{reason}; {self}"),
+            },
+        }
+    }
+
     /// Converts the error for a request with a caller's idempotency key: an outcome of "not run"
     /// becomes "unknown". Whatever the reason for rejecting this call, an earlier call with the
     /// same key may have run, unless a granted claim, which reserves the key for this call, rules
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -90,6 +90,7 @@
         control: control_receiver,
         dispatcher: Rc::new(Dispatcher::new()),
         has_key: true,
+        may_have_run: true,
         request,
         sink: None,
         state,
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -119,6 +119,7 @@
     let route_request = request.route_request();
     let headers = request.outgoing_headers(request.key.as_deref());
     let mut placement = context.admit(route_request.clone(), false).await?;
+    let mut may_have_run = false;
     let mut tried = Vec::new();
     loop {
         let call = request.call(&headers, None);
@@ -139,6 +140,7 @@
             Err(failed) => failed,
         };
         log_attempt_failure(request, &placement, &failed);
+        may_have_run |= failed.may_have_run();
         tried.push(placement.server.name.clone());
         context.metrics.retry(failed.failure);
         let retry = RetryAttempt {
@@ -148,7 +150,12 @@
             tried: tried.clone(),
         };
         let next = match tried.len() < ATTEMPTS_MAX {
-            true => context.retry(retry).await,
+            true => match context.retry(retry).await {
+                Err(error) if may_have_run => {
+                    Err(error.after_lost_attempt(&placement.server.name, &failed.reason))
+                }
+                next => next,
+            },
             false => {
                 context.router.do_send(EndAttempt {
                     route_request: route_request.clone(),
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -224,6 +224,8 @@
     /// True if the call continues without an attached caller, because its caller sent an
     /// idempotency key or the call was handed over from another instance.
     has_key: bool,
+    /// True once a server may have run the call, here or at an earlier instance.
+    may_have_run: bool,
     request: ChatRequest,
     /// Attached callers; more than one if a key is sent again while its first caller is still
     /// connected.
@@ -247,6 +249,8 @@
     /// True if the call is to continue without an attached caller, because its caller sent an
     /// idempotency key or the call was handed over from another instance.
     pub has_key: bool,
+    /// True if the call was moved here from another instance, whose servers may have run it.
+    pub may_have_run: bool,
     /// Request parsed from the body in `state`; the engines' request bodies are made from it.
     pub request: ChatRequest,
     /// Channel of the first caller and the position up to which it has the completion; `None` after
@@ -265,6 +269,7 @@
             control: start.control,
             dispatcher: start.dispatcher,
             has_key: start.has_key,
+            may_have_run: start.may_have_run,
             request: start.request,
             first_sink: start.sink,
             sinks: SmallVec::new(),
@@ -302,6 +307,14 @@
                 }
                 AttemptOutcome::Refused { body, status } => {
                     self.end_attempt(&placement);
+                    if self.may_have_run {
+                        let error = Error::ResponseLost {
+                            server: placement.server.name.clone(),
+                            reason: format!("status {status}"),
+                        };
+                        self.fail(error, tokens_before).await;
+                        return;
+                    }
                     self.send_all(|| CallEvent::Refused {
                         body: body.clone(),
                         status,
@@ -349,7 +362,12 @@
             failure: failed.failure,
             tried: tried.to_vec(),
         };
-        self.context.retry(retry).await
+        match self.context.retry(retry).await {
+            Err(error) if self.may_have_run => {
+                Err(error.after_lost_attempt(&placement.server.name, &failed.reason))
+            }
+            next => next,
+        }
     }
 
     async fn attempt(&mut self, placement: &Placement) -> AttemptOutcome {
@@ -358,6 +376,7 @@
             Ok(response) => response,
             Err(outcome) => return outcome,
         };
+        self.may_have_run = true;
         let resumed_tokens = self.state.tokens();
         let mut parser = SseParser::default();
         let mut idle = FIRST_EVENT_TIMEOUT;
@@ -424,7 +443,10 @@
             OpenStreamError::BadRequest { body, status } => {
                 AttemptOutcome::Refused { body, status }
             }
-            OpenStreamError::Failed(failed) => AttemptOutcome::Failed(failed),
+            OpenStreamError::Failed(failed) => {
+                self.may_have_run |= failed.may_have_run();
+                AttemptOutcome::Failed(failed)
+            }
         })
     }
 
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -5,11 +5,6 @@
 
 mod support;
 
-use std::io::Read;
-use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
 use ebonyspread::wire;
@@ -172,25 +167,6 @@
     assert_eq!(runs_of(&cluster, &key), 1);
 }
 
-/// Starts a server that reads and counts calls and closes the connection without an answer, like a
-/// server that crashes while it runs a call.
-fn start_crashing_server() -> (SocketAddr, Arc<AtomicU32>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let count = Arc::new(AtomicU32::new(0));
-    let counted = count.clone();
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut buffer = [0; 4_096];
-            let read = stream.unwrap().read(&mut buffer).unwrap_or(0);
-            if buffer[..read].starts_with(b"POST /orders") {
-                counted.fetch_add(1, Ordering::SeqCst);
-            }
-        }
-    });
-    (address, count)
-}
-
 #[test]
 fn call_whose_server_closes_the_connection_is_not_sent_to_another() {
     let mut cluster = TestClusterBuilder::default().engines(0).start();
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -2,6 +2,12 @@
 
 mod support;
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use ebonyspread::wire;
 use support::*;
 
 fn chat_headers(account: &str) -> [(&'static str, String); 1] {
@@ -116,3 +122,84 @@
     ));
     assert_eq!(reply.json()["data"][0]["id"], MODEL);
 }
+
+/// Starts a cluster in which models and lookups are served by `servers` servers started with
+/// `start`. Returns their numbers of calls too.
+fn start_cluster_with(
+    servers: usize,
+    start: impl Fn() -> (SocketAddr, Arc<AtomicU32>),
+) -> (TestCluster, Vec<Arc<AtomicU32>>) {
+    let mut cluster = TestClusterBuilder::default().engines(0).start();
+    let row = cluster.table.backend_server[0].clone();
+    cluster.table.backend_server[0].serves = vec!["/orders".to_owned()];
+    let mut counts = Vec::new();
+    for index in 0..servers {
+        let (address, count) = start();
+        counts.push(count);
+        cluster.table.backend_server.push(wire::BackendServerRow {
+            name: format!("server-{index}"),
+            address: address.to_string(),
+            serves: vec![format!("{MODEL}@v1"), "/lookups".to_owned()],
+            ..row.clone()
+        });
+    }
+    let version = publish_table(&cluster.platform_url, &cluster.table);
+    cluster.wait_for_version(version);
+    (cluster, counts)
+}
+
+/// Fills the retry budget, which grows with each accepted request.
+fn fill_retry_budget(cluster: &TestCluster, requests: usize) {
+    for _ in 0..requests {
+        let url = cluster.url(0, "/orders/1");
+        block_on(send("GET", &url, &chat_headers("quayside"), ""));
+    }
+}
+
+#[yare::parameterized(
+    model_call_without_a_retry = { "/v1/chat/completions", 2, 0 },
+    model_call_without_another_server = { "/v1/chat/completions", 1, 12 },
+    model_call_that_is_quarantined = { "/v1/chat/completions", 2, 24 },
+    plain_call_without_a_retry = { "/lookups/1", 2, 0 },
+    plain_call_without_another_server = { "/lookups/1", 1, 12 },
+)]
+fn call_that_a_crashed_server_may_have_run_is_not_reported_as_not_run(
+    path: &str,
+    servers: usize,
+    earlier_requests: usize,
+) {
+    let (cluster, counts) = start_cluster_with(servers, start_crashing_server);
+    let headers = chat_headers("quayside");
+    fill_retry_budget(&cluster, earlier_requests);
+    let body = chat_body("quote", false, 20);
+    let reply = block_on(send("POST", &cluster.url(0, path), &headers, body));
+    let calls: u32 = counts
+        .iter()
+        .map(|count| count.load(Ordering::SeqCst))
+        .sum();
+    assert_eq!(
+        calls as usize,
+        if earlier_requests > 0 { servers } else { 1 }
+    );
+    let code = reply.json()["error"]["code"].clone();
+    assert_eq!((reply.status, reply.outcome()), (502, "unknown"), "{code}");
+}
+
+#[test]
+fn call_rejected_after_a_crash_is_not_reported_as_not_run() {
+    let calls = Arc::new(AtomicU32::new(0));
+    let start = || {
+        let calls = calls.clone();
+        start_raw_server(move |_| match calls.fetch_add(1, Ordering::SeqCst) {
+            0 => "",
+            _ => "HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n",
+        })
+    };
+    let (cluster, _) = start_cluster_with(2, start);
+    fill_retry_budget(&cluster, 12);
+    let url = cluster.url(0, "/v1/chat/completions");
+    let body = chat_body("quote", false, 20);
+    let reply = block_on(send("POST", &url, &chat_headers("quayside"), body));
+    assert_eq!(calls.load(Ordering::SeqCst), 2);
+    assert_eq!((reply.status, reply.outcome()), (502, "unknown"));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,9 +2,13 @@
 //! chosen by the operating system.
 #![allow(clippy::unwrap_used, dead_code, missing_docs)]
 
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -288,6 +292,36 @@
     TestEngine { engine, server }
 }
 
+/// Starts a server that answers each `POST` with the bytes that `answer` returns, of which the
+/// argument is the number of earlier ones, and then closes the connection. Returns its address and
+/// the number of these calls.
+pub fn start_raw_server(
+    answer: impl Fn(u32) -> &'static str + Send + 'static,
+) -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicU32::new(0));
+    let counted = count.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut buffer = [0; 4_096];
+            let read = stream.read(&mut buffer).unwrap_or(0);
+            if buffer[..read].starts_with(b"POST ") {
+                let earlier = counted.fetch_add(1, Ordering::SeqCst);
+                let _ = stream.write_all(answer(earlier).as_bytes());
+            }
+        }
+    });
+    (address, count)
+}
+
+/// Starts a server that reads and counts calls and closes the connection without an answer, like a
+/// server that crashes while it runs a call.
+pub fn start_crashing_server() -> (SocketAddr, Arc<AtomicU32>) {
+    start_raw_server(|_| "")
+}
+
 pub fn data_centre(index: usize) -> String {
     format!("centre-{index}")
 }
