Let calls that no instance takes over continue until the deadline

On a reclaim notice, callers whose calls no other instance took over were cut 2.5 s before the deadline, in the middle of their streams, although the instance and the engine still ran.

Cause: the call ended here as soon as the hand-over was over, whatever its result, also when the sender of the result was dropped or late; and the instance closed its callers' connections right after the hand-over. Ruled out: the signal alone; with only its change the test still failed (cut after 347 bytes).

The result of the hand-over is sent to the call, which ends here only if another instance accepted it. After the hand-over, the instance waits for the calls that remain until 0.2 s before its deadline. A call that another instance fetches for its returning caller still ends at once.

Measured: stream_that_no_instance_takes_over_is_not_cut_before_the_deadline failed before ("cut after 268 bytes") and passes now; the other tests of handover pass as before. Not tested: a hand-over that is accepted only after the 2 s for which the call is paused; it then runs on both instances.

--- a/src/context.rs
+++ b/src/context.rs
@@ -149,10 +149,10 @@
     /// if it does not run here.
     pub async fn release_session(&self, key: SessionKey) -> Option<CallState> {
         let control = self.sessions.send(TakeSession(key)).await.ok()??;
-        // The caller has reconnected at the instance that requests this. Dropping `_moved` lets the
-        // call end here at once instead of keeping its callers connected until the move is
-        // confirmed.
-        let (state, _moved) = detach_call(&control).await?;
+        // The caller has reconnected at the instance that requests this, so the call ends here at
+        // once instead of keeping its callers connected until the move is confirmed.
+        let (state, moved) = detach_call(&control).await?;
+        let _ = moved.send(true);
         Some(state)
     }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,6 +5,7 @@
 use super::*;
 
 use std::net::TcpListener;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
@@ -25,6 +26,9 @@
 /// away) that is reserved for handing over calls.
 const HANDOVER_RESERVE: Duration = Duration::from_millis(2_500);
 
+/// Part of the time given by a reclaim notice that is reserved for closing the listeners.
+const EXIT_RESERVE: Duration = Duration::from_millis(200);
+
 /// Maximum number of callers' connections per worker thread; further ones wait to be accepted.
 const CONNECTIONS_MAX: usize = 10_000;
 
@@ -280,7 +284,7 @@
     }
 
     /// Stops after a reclaim notice. Calls that have not ended shortly before its deadline are
-    /// handed over.
+    /// handed over; those that no instance takes over continue here until the deadline.
     async fn stop_by_deadline(&self, deadline: Instant) {
         let instance = &self.context.settings.instance;
         info!("stop instance={instance} reclaimed");
@@ -288,12 +292,18 @@
         let hand_over_at = deadline
             .checked_sub(HANDOVER_RESERVE)
             .unwrap_or_else(Instant::now);
-        let ended = tokio::time::timeout_at(hand_over_at.into(), self.callers.stop(true)).await;
+        let mut all_ended = pin!(self.callers.stop(true));
+        let ended = tokio::time::timeout_at(hand_over_at.into(), &mut all_ended).await;
         let (taken, not_taken) = hand_over_all(&self.context).await;
         info!(
             "stop instance={instance} all_ended={} handed_over={taken} not_taken={not_taken}",
             ended.is_ok()
         );
+        if ended.is_err()
+            && let Some(stop_at) = deadline.checked_sub(EXIT_RESERVE)
+        {
+            let _ = tokio::time::timeout_at(stop_at.into(), all_ended).await;
+        }
         self.finish_stop().await;
     }
 
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -100,7 +100,7 @@
 }
 
 /// Hands over all calls of this instance. Returns the number of calls that were accepted by other
-/// instances and the number that were not; calls that ended or did not return their state are in
+/// instances and the number that were not and continue here; calls that ended or did not return their state are in
 /// neither.
 pub async fn hand_over_all(context: &Arc<Context>) -> (usize, usize) {
     let sessions = context
@@ -118,7 +118,7 @@
             };
             let taken = peers.send(HandOverCall(state)).await.unwrap_or(false);
             // An error only means that the call's task has stopped waiting.
-            let _ = moved.send(());
+            let _ = moved.send(taken);
             Some(taken)
         }));
     }
@@ -133,12 +133,13 @@
     (taken, not_taken)
 }
 
-/// Stops a call on this instance and returns its state for another instance to resume from, or
-/// `None` if the call has ended or does not respond in time. The callers are disconnected when the
-/// returned sender is used or dropped, or after a timeout.
+/// Pauses a call and returns its state for another instance to resume from, or `None` if the call
+/// has ended or does not respond in time. The call ends here, and its callers are disconnected, when
+/// true is sent with the returned sender; it continues if false is sent, the sender is dropped or a
+/// timeout expires.
 pub async fn detach_call(
     control: &mpsc::Sender<CallControl>,
-) -> Option<(CallState, oneshot::Sender<()>)> {
+) -> Option<(CallState, oneshot::Sender<bool>)> {
     let (reply, state) = oneshot::channel();
     let (moved_sender, moved) = oneshot::channel();
     let hand_over = CallControl::HandOver { moved, reply };
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -30,8 +30,8 @@
 /// handed over from another instance.
 pub const SESSION_TTL: Duration = Duration::from_secs(120);
 
-/// Maximum time for which callers stay attached while their call is handed over to another
-/// instance.
+/// Maximum time for which a call is paused until another instance has accepted it; then it continues
+/// here.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum number of failed attempts; after them the model call fails.
@@ -111,12 +111,13 @@
         /// Channel for the remaining events. Dropping its receiver detaches the caller.
         sink: mpsc::Sender<CallEvent>,
     },
-    /// Stops the call on this instance and returns the state that another instance needs to resume
-    /// it.
+    /// Pauses the call, returns the state that another instance needs to resume it, and ends it here
+    /// once another instance has it.
     HandOver {
-        /// Resolves once the other instance has accepted the call. Callers stay attached until
-        /// then, so that they do not reconnect too early.
-        moved: oneshot::Receiver<()>,
+        /// Resolves with true once the other instance has accepted the call. Callers stay attached
+        /// until then, so that they do not reconnect too early. If it resolves with false, fails or
+        /// takes too long, the call continues here.
+        moved: oneshot::Receiver<bool>,
         /// Channel for the state of the call. If its receiver has been dropped, the call continues
         /// here.
         reply: oneshot::Sender<CallState>,
@@ -588,13 +589,14 @@
                 false
             }
             CallControl::HandOver { moved, reply } => {
-                let handed = reply.send(self.state.clone()).is_ok();
-                if handed {
-                    // `moved` resolves with an error if the hand-over is abandoned.
-                    let _ = timeout(HAND_OVER_TIMEOUT, moved).await;
+                if reply.send(self.state.clone()).is_err() {
+                    return false;
+                }
+                let has_moved = matches!(timeout(HAND_OVER_TIMEOUT, moved).await, Ok(Ok(true)));
+                if has_moved {
                     self.sinks.clear();
                 }
-                handed
+                has_moved
             }
         }
     }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -151,6 +151,23 @@
     );
 }
 
+#[test]
+fn stream_that_no_instance_takes_over_is_not_cut_before_the_deadline() {
+    let cluster = slow_cluster().start();
+    let url = cluster.url(0, "/v1/chat/completions");
+    let body = block_on(async {
+        let (first, response) = open_stream(&url, &[bearer("quayside")]).await;
+        // Calls are handed over 2.5 s before the deadline, in the middle of the stream.
+        cluster
+            .platform
+            .announce_reclaim("entry-0", Duration::from_millis(4_000));
+        read_rest(first, response).await
+    });
+    let (text, _, is_done) = read_stream(whole_events(&body));
+    assert!(is_done, "cut after {} bytes", text.len());
+    assert_eq!(text, expected_text(&prompt(), TOKENS));
+}
+
 #[test]
 fn stream_resumes_at_another_entry_after_kill() {
     let mut cluster = slow_cluster().entries(2).start();
