Drop a silent engine only for another one

Callers' streams ended with answer_lost after 10 s without an event although their engine was at work on them, if no retry was left in the budget or no other engine could take the call.

Cause: silence ended the attempt, and only then was the router asked whether the call could be sent elsewhere. Ruled out: a broken connection, and an engine's own error, still end the attempt at once.

A silent attempt now ends only together with the placement of the next one. The router checks for another server and a covered retry in one step and leaves the attempt as it is otherwise; the call then waits, and asks again after each further 10 s. Model calls have no deadline of their own here: after 600 s of silence the attempt fails as before.

Measured: stream_of_a_silent_engine_is_dropped_only_for_another_one failed before in the cases without_a_retry ("no event for 10 s; ... its retry budget is exhausted") and without_another_engine ("no event for 10 s; no live backend server serves model restock-8b"). All cases pass now; with_both, where the call is moved, passed before too. The 60 s to the first event take the same path and were not run. Unchanged: the 60 s to the head of the response, after which the attempt ends before the router is asked.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -84,36 +84,46 @@
         *balance = (*balance + 1).min(BALANCE_MAX);
     }
 
-    /// Takes the cost of one retry from the balances after a failure at `server`. Fails with the
-    /// first balance that does not cover it, and takes nothing, if the instance's balance would
-    /// fall below zero or that of the account or server below `OVERDRAFT_LIMIT`. Succeeds, and
-    /// takes nothing, if the safeguard is disabled.
+    /// Takes the cost of one retry from the balances after a failure at `server`. Fails as
+    /// [`check`](Self::check) does, and takes nothing then. Succeeds, and takes nothing, if the
+    /// safeguard is disabled.
     pub fn withdraw(
         &mut self,
         account: &AccountName,
         server: &ServerName,
     ) -> Result<(), RetryDenied> {
-        let of_account = self.accounts.entry(account.clone()).or_default();
-        let of_server = self.servers.entry(server.clone()).or_default();
+        self.check(account, server)?;
         if is_disabled(Safeguard::RetryBudget) {
             return Ok(());
         }
         let cost = self.settings.requests_per_retry;
-        if self.instance < cost {
-            let balance = self.instance;
+        self.instance -= cost;
+        *self.accounts.entry(account.clone()).or_default() -= cost;
+        *self.servers.entry(server.clone()).or_default() -= cost;
+        Ok(())
+    }
+
+    /// Checks whether the balances cover one retry after a failure at `server`. Fails with the
+    /// first one that does not: the instance's balance may not fall below zero, and those of the
+    /// account and server may not fall below `OVERDRAFT_LIMIT`. Succeeds if the safeguard is
+    /// disabled.
+    pub fn check(&self, account: &AccountName, server: &ServerName) -> Result<(), RetryDenied> {
+        if is_disabled(Safeguard::RetryBudget) {
+            return Ok(());
+        }
+        let cost = self.settings.requests_per_retry;
+        let balance = self.instance;
+        if balance < cost {
             return Err(RetryDenied::Instance { balance, cost });
         }
-        if *of_account - cost < OVERDRAFT_LIMIT {
-            let balance = *of_account;
+        let balance = self.accounts.get(account).copied().unwrap_or_default();
+        if balance - cost < OVERDRAFT_LIMIT {
             return Err(RetryDenied::Account { balance, cost });
         }
-        if *of_server - cost < OVERDRAFT_LIMIT {
-            let balance = *of_server;
+        let balance = self.servers.get(server).copied().unwrap_or_default();
+        if balance - cost < OVERDRAFT_LIMIT {
             return Err(RetryDenied::Service { balance, cost });
         }
-        self.instance -= cost;
-        *of_account -= cost;
-        *of_server -= cost;
         Ok(())
     }
 
--- a/src/context.rs
+++ b/src/context.rs
@@ -133,6 +133,15 @@
         self.router.send(retry).await.map_err(|_| actor_stopped())?
     }
 
+    /// Moves a request away from a silent server; fails, and leaves the attempt as it is, if no
+    /// other server can take the request or the retry budget does not allow it.
+    pub async fn move_stalled(&self, stalled: MoveStalled) -> Result<Placement> {
+        self.router
+            .send(stalled)
+            .await
+            .map_err(|_| actor_stopped())?
+    }
+
     /// Registers a call that is starting and returns `None`, or returns the channel of the call
     /// that is already running with the same key.
     pub async fn open_session(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -250,6 +250,7 @@
 use crate::router_actor::FinishRequest;
 use crate::router_actor::ListQuarantine;
 use crate::router_actor::ListServers;
+use crate::router_actor::MoveStalled;
 use crate::router_actor::PlaceAgain;
 use crate::router_actor::ReleaseContent;
 use crate::router_actor::ReportLoad;
--- a/src/router.rs
+++ b/src/router.rs
@@ -94,6 +94,16 @@
     Status,
 }
 
+impl Failure {
+    /// Returns true if a retry after this failure is taken from the retry budget.
+    fn costs_budget(self) -> bool {
+        match self {
+            Self::Broken | Self::Status => true,
+            Self::Connect | Self::Leaving => false,
+        }
+    }
+}
+
 /// Number of requests of all instances at a server, as the server reported them when polled.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LoadReport {
@@ -327,27 +337,53 @@
                 content_hash: request.content_hash,
             });
         }
-        let costs_budget = match failure {
-            Failure::Broken | Failure::Status => true,
-            Failure::Connect | Failure::Leaving => false,
-        };
-        if costs_budget
+        if failure.costs_budget()
             && let Err(denied) = self.budget.withdraw(&request.account, &failed.server.name)
         {
-            warn!(
-                "retry request={} account={} server={} outcome=denied {denied}",
-                request.request_id, request.account, failed.server.name
-            );
-            return Err(Error::RetryBudgetSpent {
-                subject: request.subject.clone(),
-                retry_after_ms: OVERLOADED_RETRY_AFTER_MS,
-            });
+            return Err(retry_denied(request, failed, denied));
         }
         let table = self.table.clone();
         let account = find_account(&table, &request.account)?;
         self.choose_server(now, account, request, Some(failed), tried)
     }
 
+    /// Moves a request away from the silent server of `stalled`, which may still be working on it:
+    /// places the next attempt within the retry budget and ends the stalled one. Fails, and leaves
+    /// the stalled attempt as it is, if no other server can take the request or the retry is
+    /// denied.
+    ///
+    /// `tried` are the servers that are not chosen, including the silent one.
+    pub fn move_stalled(
+        &mut self,
+        now: Duration,
+        request: &RouteRequest,
+        stalled: &Placement,
+        tried: &[ServerName],
+    ) -> Result<Placement> {
+        if self.quarantine.is_quarantined(request.content_hash) {
+            return Err(Error::Quarantined {
+                content_hash: request.content_hash,
+            });
+        }
+        let server = &stalled.server.name;
+        let failure = self.classify_failure(Failure::Broken, server);
+        if failure.costs_budget()
+            && let Err(denied) = self.budget.check(&request.account, server)
+        {
+            return Err(retry_denied(request, stalled, denied));
+        }
+        let table = self.table.clone();
+        let account = find_account(&table, &request.account)?;
+        let placement = self.choose_server(now, account, request, Some(stalled), tried)?;
+        if failure.costs_budget()
+            && let Err(denied) = self.budget.withdraw(&request.account, server)
+        {
+            return Err(retry_denied(request, stalled, denied));
+        }
+        self.end_attempt(now, request, stalled, Some(failure));
+        Ok(placement)
+    }
+
     /// Returns [`Failure::Leaving`] in place of any failure at a server that is leaving, and other
     /// failures unchanged: connections of a leaving server break because it is leaving, not because
     /// of the requests that it ran.
@@ -627,6 +663,18 @@
     found.ok_or(Error::UnknownKey)
 }
 
+/// Logs a denied retry and returns the error for it.
+fn retry_denied(request: &RouteRequest, failed: &Placement, denied: RetryDenied) -> Error {
+    warn!(
+        "retry request={} account={} server={} outcome=denied {denied}",
+        request.request_id, request.account, failed.server.name
+    );
+    Error::RetryBudgetSpent {
+        subject: request.subject.clone(),
+        retry_after_ms: OVERLOADED_RETRY_AFTER_MS,
+    }
+}
+
 fn can_serve(state: &ServerState, variant: &Variant, tried: &[ServerName]) -> bool {
     state.row.path == variant.path
         && state.row.serves.contains(&variant.served_as)
--- a/src/router_actor.rs
+++ b/src/router_actor.rs
@@ -45,6 +45,20 @@
     pub tried: Vec<ServerName>,
 }
 
+/// Moves a request away from a silent server that may still be working on it, if another server can
+/// take it and the retry budget allows it; otherwise fails and leaves the attempt as it is.
+#[derive(Message)]
+#[rtype(result = "Result<Placement>")]
+pub struct MoveStalled {
+    /// Request as passed in [`AdmitRequest`]; the retry is taken from the retry budgets as for
+    /// [`RetryAttempt`].
+    pub route_request: RouteRequest,
+    /// Placement of the attempt at the silent server, which ends if the request is moved.
+    pub stalled: Placement,
+    /// Servers that are not chosen: the silent one and those that failed this request.
+    pub tried: Vec<ServerName>,
+}
+
 /// Ends an attempt that did not fail: its answer was complete or its request was abandoned.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -306,6 +320,29 @@
     }
 }
 
+impl Handler<MoveStalled> for RouterActor {
+    type Result = Result<Placement>;
+
+    fn handle(&mut self, message: MoveStalled, _: &mut Self::Context) -> Self::Result {
+        let MoveStalled {
+            route_request,
+            stalled,
+            tried,
+        } = message;
+        let now = self.now();
+        let cause = self
+            .router
+            .classify_failure(Failure::Broken, &stalled.server.name);
+        let placed = self
+            .router
+            .move_stalled(now, &route_request, &stalled, &tried);
+        if placed.is_ok() {
+            self.announce_failure(&route_request, &stalled, cause);
+        }
+        self.report_invariant(placed)
+    }
+}
+
 impl Handler<EndAttempt> for RouterActor {
     type Result = ();
 
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -20,12 +20,16 @@
 /// A caller whose buffer of events stays full for this long is detached.
 const SLOW_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// An attempt fails if the engine sends nothing for this long in the middle of a stream.
+/// If the engine sends nothing for this long in the middle of a stream, the call is moved to another
+/// engine, if one can take it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Maximum time between the head of the engine's response and its first event.
+/// Same as [`IDLE_TIMEOUT`], between the head of the engine's response and its first event.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// An attempt that cannot be moved fails if the engine sends nothing for this long after its head.
+const SILENCE_MAX: Duration = Duration::from_secs(600);
+
 /// Time for which a completed call can be fetched again, if it was sent with an idempotency key or
 /// handed over from another instance.
 pub const SESSION_TTL: Duration = Duration::from_secs(120);
@@ -168,13 +172,18 @@
     }
 }
 
-/// How an attempt at an engine ended; only `Failed` can lead to another attempt.
+/// How an attempt at an engine ended; only `Failed` and `Moved` can lead to another attempt.
 enum AttemptOutcome {
     CallerGone,
     Done,
     Failed(AttemptError),
     HandedOver,
-    Refused { body: Bytes, status: u16 },
+    /// The engine was silent, and the call has been placed on another one.
+    Moved(Placement),
+    Refused {
+        body: Bytes,
+        status: u16,
+    },
 }
 
 /// An attached caller and what it has received.
@@ -292,7 +301,7 @@
         loop {
             let outcome = match self.state.finish_reason {
                 Some(_) => AttemptOutcome::Done,
-                None => self.attempt(&placement).await,
+                None => self.attempt(&placement, &tried).await,
             };
             let failed = match outcome {
                 AttemptOutcome::Failed(failed) => failed,
@@ -306,6 +315,11 @@
                     self.finish(tokens_before);
                     return;
                 }
+                AttemptOutcome::Moved(next) => {
+                    tried.push(placement.server.name.clone());
+                    placement = next;
+                    continue;
+                }
                 AttemptOutcome::Refused { body, status } => {
                     self.end_attempt(&placement);
                     if self.may_have_run {
@@ -371,7 +385,42 @@
         }
     }
 
-    async fn attempt(&mut self, placement: &Placement) -> AttemptOutcome {
+    /// Asks for another engine for a call whose engine sends nothing but may still be working on it.
+    /// Returns `None` if the call has to wait.
+    async fn move_stalled(
+        &self,
+        placement: &Placement,
+        tried: &[ServerName],
+        silence: Duration,
+    ) -> Option<Placement> {
+        if !self.text_only || tried.len() + 1 >= ATTEMPTS_MAX {
+            return None;
+        }
+        let mut tried = tried.to_vec();
+        tried.push(placement.server.name.clone());
+        let stalled = MoveStalled {
+            route_request: self.route_request.clone(),
+            stalled: placement.clone(),
+            tried,
+        };
+        let moved = self.context.move_stalled(stalled).await;
+        let outcome = match &moved {
+            Ok(_) => "moved".to_owned(),
+            Err(error) => format!("waits ({error})"),
+        };
+        warn!(
+            "attempt request={} server={} silent_ms={} outcome=\"{outcome}\" tokens_sent={}",
+            self.route_request.request_id,
+            placement.server.name,
+            silence.as_millis(),
+            self.state.tokens(),
+        );
+        let next = moved.ok()?;
+        self.context.metrics.retry(Failure::Broken);
+        Some(next)
+    }
+
+    async fn attempt(&mut self, placement: &Placement, tried: &[ServerName]) -> AttemptOutcome {
         let body = self.engine_body(placement);
         let mut response = match self.open(placement, body).await {
             Ok(response) => response,
@@ -381,6 +430,7 @@
         let resumed_tokens = self.state.tokens();
         let mut parser = SseParser::default();
         let mut idle = FIRST_EVENT_TIMEOUT;
+        let mut received_at = Instant::now();
         loop {
             while let Some(data) = parser.next_data() {
                 idle = IDLE_TIMEOUT;
@@ -400,13 +450,25 @@
                     return AttemptOutcome::CallerGone,
             };
             let failed = match next {
-                Ok(Some(Ok(bytes))) => match parser.push(&bytes) {
-                    Ok(()) => continue,
-                    Err(error) => error.to_string(),
-                },
+                Ok(Some(Ok(bytes))) => {
+                    received_at = Instant::now();
+                    match parser.push(&bytes) {
+                        Ok(()) => continue,
+                        Err(error) => error.to_string(),
+                    }
+                }
                 Ok(Some(Err(error))) => error.to_string(),
                 Ok(None) => "stream ended without a [DONE] event".to_owned(),
-                Err(_) => format!("no event for {} s", idle.as_secs()),
+                Err(_) => {
+                    let silence = received_at.elapsed();
+                    if silence < SILENCE_MAX {
+                        match self.move_stalled(placement, tried, silence).await {
+                            Some(next) => return AttemptOutcome::Moved(next),
+                            None => continue,
+                        }
+                    }
+                    format!("no event for {} s", silence.as_secs())
+                }
             };
             return AttemptOutcome::Failed(AttemptError {
                 failure: Failure::Broken,
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -109,6 +109,49 @@
     assert_eq!(text, expected_text(&prompt(), TOKENS));
 }
 
+#[yare::parameterized(
+    without_a_retry = { 2, 0, 1 },
+    without_another_engine = { 1, 12, 1 },
+    with_both = { 2, 12, 2 },
+)]
+fn stream_of_a_silent_engine_is_dropped_only_for_another_one(
+    engines: usize,
+    earlier_requests: usize,
+    engines_used: usize,
+) {
+    let cluster = slow_cluster().engines(engines).start();
+    let url = cluster.url(0, "/v1/chat/completions");
+    for _ in 0..earlier_requests {
+        let lookup = cluster.url(0, "/lookups/1");
+        block_on(send("GET", &lookup, &[bearer("quayside")], ""));
+    }
+    let body = block_on(async {
+        let (first, response) = open_stream(&url, &[bearer("quayside")]).await;
+        let busy = cluster
+            .engines
+            .iter()
+            .find(|engine| engine.engine.running() > 0);
+        let faults_url = format!("http://{}/admin/faults", busy.unwrap().server.address);
+        let json = ("content-type", "application/json".to_owned());
+        // The next token takes 12 s, longer than the 10 s after which an engine counts as silent.
+        for slow_percent in [40_000, 100] {
+            let faults = format!("{{\"slow_percent\":{slow_percent}}}");
+            let reply = send("POST", &faults_url, std::slice::from_ref(&json), faults).await;
+            assert_eq!(reply.status, 200);
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        read_rest(first, response).await
+    });
+    let (text, _, is_done) = read_stream(&body);
+    assert!(is_done, "{}", String::from_utf8_lossy(&body));
+    assert_eq!(text, expected_text(&prompt(), TOKENS));
+    let used = cluster
+        .engines
+        .iter()
+        .filter(|engine| engine.engine.requests() > 0);
+    assert_eq!(used.count(), engines_used);
+}
+
 #[yare::parameterized(
     one_data_centre = { 1, true },
     two_data_centres = { 2, true },
