Do not count a silent server as crashed by the content it runs

Content whose calls met two silent servers was refused for an hour with 422 content_quarantined, at all instances, although no server had crashed.

Cause: silence in a stream and a timeout of the head were reported as a broken connection, which is evidence for the quarantine. Ruled out: errors that servers send, which never counted.

Silence is a failure of its own, Stalled. It costs a retry and ejects the server as before, but is no evidence against the content, here or at other instances. In the metrics it is cause="stalled". Still counted as a broken connection: a stream that ends early or holds events that cannot be parsed.

Measured: content_of_silent_servers_is_not_quarantined failed before (Err(Quarantined) at the third server), and timeout_of_a_head_is_not_taken_for_a_crash_of_the_server with only the mapping of the timeout taken out again ("Timeout while waiting for response", Broken).

--- a/soak/src/routing.rs
+++ b/soak/src/routing.rs
@@ -275,10 +275,11 @@
     }
 
     fn fail_attempt(&mut self, mut running: Running) {
-        let failure = match self.schedule.below(4) {
+        let failure = match self.schedule.below(5) {
             0 => Failure::Broken,
             1 => Failure::Connect,
             2 => Failure::Leaving,
+            3 => Failure::Stalled,
             _ => Failure::Status,
         };
         self.report.fault("attempt failed");
@@ -300,7 +301,7 @@
         match next {
             Ok(placement) => {
                 self.check_placement(&placement);
-                if matches!(cause, Failure::Broken | Failure::Status) {
+                if matches!(cause, Failure::Broken | Failure::Stalled | Failure::Status) {
                     self.attempts += 1;
                 }
                 self.check_amplification();
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -69,7 +69,7 @@
     /// response began.
     pub fn may_have_run(&self) -> bool {
         match self.failure {
-            Failure::Broken | Failure::Status => true,
+            Failure::Broken | Failure::Stalled | Failure::Status => true,
             Failure::Connect | Failure::Leaving => false,
         }
     }
@@ -242,9 +242,10 @@
 }
 
 fn attempt_error(error: &SendRequestError) -> AttemptError {
-    let failure = match proves_not_sent(error) {
-        true => Failure::Connect,
-        false => Failure::Broken,
+    let failure = match error {
+        _ if proves_not_sent(error) => Failure::Connect,
+        SendRequestError::Timeout => Failure::Stalled,
+        _ => Failure::Broken,
     };
     AttemptError {
         failure,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -138,6 +138,7 @@
             Failure::Broken => "broken",
             Failure::Connect => "connect",
             Failure::Leaving => "leaving",
+            Failure::Stalled => "stalled",
             Failure::Status => "status",
         };
         self.retries.add(1, &[KeyValue::new("cause", cause)]);
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -304,7 +304,7 @@
                 self.failed = Some(failed);
                 AtMostOnceEvent::NotSent
             }
-            Failure::Broken | Failure::Status => {
+            Failure::Broken | Failure::Stalled | Failure::Status => {
                 AtMostOnceEvent::AnswerLost(lost_error(&self.placement, failed))
             }
         }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -2,7 +2,7 @@
 //! that run it, and refuses them.
 //!
 //! The content of every model request that was running on a server when its connection broke
-//! becomes a suspect, with that server as evidence. Content with evidence from two servers is
+//! becomes a suspect, with that server as evidence; a server that is only silent is no evidence. Content with evidence from two servers is
 //! quarantined. An instance does not run two suspects on the same server at the same time, so that
 //! a second crash identifies the content that caused it. Operators can list the quarantined
 //! contents and release them, so that their requests are accepted again.
--- a/src/router.rs
+++ b/src/router.rs
@@ -90,6 +90,8 @@
     Connect,
     /// The server is leaving, and it stopped running the request or refused to start it.
     Leaving,
+    /// The server sent nothing for too long; it may still be working on the request.
+    Stalled,
     /// The server answered with an error.
     Status,
 }
@@ -98,7 +100,7 @@
     /// Returns true if a retry after this failure is taken from the retry budget.
     fn costs_budget(self) -> bool {
         match self {
-            Self::Broken | Self::Status => true,
+            Self::Broken | Self::Stalled | Self::Status => true,
             Self::Connect | Self::Leaving => false,
         }
     }
@@ -366,7 +368,7 @@
             });
         }
         let server = &stalled.server.name;
-        let failure = self.classify_failure(Failure::Broken, server);
+        let failure = self.classify_failure(Failure::Stalled, server);
         if failure.costs_budget()
             && let Err(denied) = self.budget.check(&request.account, server)
         {
@@ -416,7 +418,7 @@
             state.suspects_here = state.suspects_here.saturating_sub(1);
         }
         match failure {
-            Some(Failure::Broken | Failure::Connect) => {
+            Some(Failure::Broken | Failure::Connect | Failure::Stalled) => {
                 state.failure_streak += 1;
                 let doublings = (state.failure_streak - 1).min(4);
                 let duration = (EJECTION_INITIAL * (1 << doublings)).min(EJECTION_MAX);
--- a/src/router_actor.rs
+++ b/src/router_actor.rs
@@ -244,7 +244,7 @@
                 server,
                 source: LeavingSource::Server,
             }),
-            Failure::Broken | Failure::Connect | Failure::Status => {}
+            Failure::Broken | Failure::Connect | Failure::Stalled | Failure::Status => {}
         }
     }
 
@@ -332,7 +332,7 @@
         let now = self.now();
         let cause = self
             .router
-            .classify_failure(Failure::Broken, &stalled.server.name);
+            .classify_failure(Failure::Stalled, &stalled.server.name);
         let placed = self
             .router
             .move_stalled(now, &route_request, &stalled, &tried);
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -416,7 +416,7 @@
             self.state.tokens(),
         );
         let next = moved.ok()?;
-        self.context.metrics.retry(Failure::Broken);
+        self.context.metrics.retry(Failure::Stalled);
         Some(next)
     }
 
@@ -449,16 +449,19 @@
                 () = all_callers_gone(&self.sinks), if !self.has_key =>
                     return AttemptOutcome::CallerGone,
             };
-            let failed = match next {
+            let (failure, reason) = match next {
                 Ok(Some(Ok(bytes))) => {
                     received_at = Instant::now();
                     match parser.push(&bytes) {
                         Ok(()) => continue,
-                        Err(error) => error.to_string(),
+                        Err(error) => (Failure::Broken, error.to_string()),
                     }
                 }
-                Ok(Some(Err(error))) => error.to_string(),
-                Ok(None) => "stream ended without a [DONE] event".to_owned(),
+                Ok(Some(Err(error))) => (Failure::Broken, error.to_string()),
+                Ok(None) => (
+                    Failure::Broken,
+                    "stream ended without a [DONE] event".to_owned(),
+                ),
                 Err(_) => {
                     let silence = received_at.elapsed();
                     if silence < SILENCE_MAX {
@@ -467,13 +470,11 @@
                             None => continue,
                         }
                     }
-                    format!("no event for {} s", silence.as_secs())
+                    let reason = format!("no event for {} s", silence.as_secs());
+                    (Failure::Stalled, reason)
                 }
             };
-            return AttemptOutcome::Failed(AttemptError {
-                failure: Failure::Broken,
-                reason: failed,
-            });
+            return AttemptOutcome::Failed(AttemptError { failure, reason });
         }
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -20,6 +20,8 @@
 mod policy_state;
 #[path = "decisions/prefill_rate.rs"]
 mod prefill_rate;
+#[path = "decisions/router.rs"]
+mod router;
 #[path = "decisions/topic_feed.rs"]
 mod topic_feed;
 #[path = "decisions/usage_counter.rs"]
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -6,7 +6,12 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use ebonyspread::dispatch::Dispatcher;
+use ebonyspread::dispatch::PlainCall;
+use ebonyspread::router::Failure;
+use ebonyspread::table::BackendServer;
 use ebonyspread::wire;
 use support::*;
 
@@ -203,3 +208,45 @@
     assert_eq!(calls.load(Ordering::SeqCst), 2);
     assert_eq!((reply.status, reply.outcome()), (502, "unknown"));
 }
+
+/// Call with a body, whose response has to begin within 300 ms.
+fn short_call() -> PlainCall<'static> {
+    PlainCall {
+        body: "{}".into(),
+        fencing: None,
+        headers: &[],
+        method: awc::http::Method::POST,
+        path_and_query: "/",
+        timeout: Duration::from_millis(300),
+    }
+}
+
+fn server_at(address: SocketAddr) -> BackendServer {
+    BackendServer {
+        address: address.to_string().into(),
+        checks_fencing: false,
+        data_centre: data_centre(0).into(),
+        lookup_path: "".into(),
+        name: "server".into(),
+        path: "new".into(),
+        price_cents_per_hour: 0,
+        reclaimable: false,
+        serves: Default::default(),
+        slots: 1,
+    }
+}
+
+#[test]
+fn timeout_of_a_head_is_not_taken_for_a_crash_of_the_server() {
+    let (address, _) = start_raw_server(|_| {
+        std::thread::sleep(Duration::from_secs(1));
+        ""
+    });
+    let server = server_at(address);
+    let sent = block_on(async {
+        let dispatcher = Dispatcher::new();
+        dispatcher.send_plain(&server, short_call(), false).await
+    });
+    let failed = sent.err().expect("the server does not answer in time");
+    assert_ne!(failed.failure, Failure::Broken, "{}", failed.reason);
+}
