--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -72,6 +72,17 @@
     pub reason: String,
 }
 
+impl AttemptError {
+    /// Returns true if the server may have run the call, for an attempt that failed before its
+    /// response began.
+    pub fn may_have_run(&self) -> bool {
+        match self.failure {
+            Failure::Broken | Failure::Stalled | Failure::Status => true,
+            Failure::Connect | Failure::Leaving => false,
+        }
+    }
+}
+
 /// HTTP clients of one thread.
 pub struct Dispatcher {
     /// Memory for unfinished events of engines' streams; a stream for which none is left fails.
@@ -256,9 +267,10 @@
 }
 
 fn attempt_error(error: &SendRequestError) -> AttemptError {
-    let failure = match proves_not_sent(error) {
-        true => Failure::Connect,
-        false => Failure::Broken,
+    let failure = match error {
+        _ if proves_not_sent(error) => Failure::Connect,
+        SendRequestError::Timeout => Failure::Stalled,
+        _ => Failure::Broken,
     };
     AttemptError {
         failure,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -24,6 +24,8 @@
 mod policy_state;
 #[path = "decisions/prefill_rate.rs"]
 mod prefill_rate;
+#[path = "decisions/router.rs"]
+mod router;
 #[path = "decisions/sse.rs"]
 mod sse;
 #[path = "decisions/topic_feed.rs"]
