Do not cut a large response because its caller reads late

Seen by callers: a response above 1 MiB whose caller began to read after the call's deadline was cut off, though its server had answered in time.

Cause: pass_through limited each read from the server by the call's deadline, and while the caller does not read, nothing is read from the server either.

Change: a forwarded body is limited in the time spent waiting for its server, by what was left until the deadline when forwarding began. Time in which the caller does not read is not counted.

--- a/src/pass_through.rs
+++ b/src/pass_through.rs
@@ -4,7 +4,8 @@
 use super::*;
 
 use futures_util::stream::LocalBoxStream;
-use tokio::time::timeout_at;
+use tokio::time::Instant as TokioInstant;
+use tokio::time::timeout;
 
 /// Forwards the body of one response.
 pub(crate) struct PassThrough {
@@ -14,14 +15,17 @@
     ended: bool,
     exchange: Exchange,
     forwarded_bytes: usize,
+    /// Time left to wait for the server. Time in which the caller does not read is not counted.
+    server_time: Duration,
     status: u16,
 }
 
 impl PassThrough {
     /// Returns the body of the caller's response. The call counts as in flight until the returned
-    /// stream is dropped. The stream fails at the call's deadline, if the server's connection
-    /// breaks, and at [`RESPONSE_MAX_BYTES`]; the caller's connection is then closed, so that the
-    /// response cannot be mistaken for a complete one.
+    /// stream is dropped. The stream fails if the server's connection breaks, at
+    /// [`RESPONSE_MAX_BYTES`], and once it has waited for the server as long as the call had left;
+    /// the caller's connection is then closed, so that the response cannot be mistaken for a
+    /// complete one.
     pub(crate) fn start(
         exchange: Exchange,
         attempt: Attempt,
@@ -34,6 +38,7 @@
             attempt,
             body,
             ended: false,
+            server_time: exchange.deadline - TokioInstant::now(),
             exchange,
             forwarded_bytes: 0,
             status,
@@ -50,7 +55,10 @@
             return Some((Ok(part), self));
         }
         let rest = self.body.rest.as_mut()?;
-        let reason = match timeout_at(self.exchange.deadline, rest.next()).await {
+        let waits_since = TokioInstant::now();
+        let read = timeout(self.server_time, rest.next()).await;
+        self.server_time = self.server_time.saturating_sub(waits_since.elapsed());
+        let reason = match read {
             Ok(Some(Ok(part))) => {
                 let placed = &self.attempt.placed;
                 record_received(&self.exchange.serving, &placed.data_centre, &placed.server);
@@ -71,9 +79,8 @@
                 self.attempt.outcome = AttemptOutcome::Broken;
                 error.reason
             }
-            // The caller may have read slowly, so this does not count against the server.
             Err(_) => format!(
-                "body had not ended at the deadline, after {} bytes",
+                "body did not end in time, after {} bytes",
                 self.forwarded_bytes
             ),
         };
