--- a/src/centre_watch.rs
+++ b/src/centre_watch.rs
@@ -5,8 +5,8 @@
 //! requests) send datagrams or its servers answer. If neither happens for a while,
 //! [`watch_centres`] opens connections to two of its servers and two of its instances as a probe. If
 //! none of them responds to two probes in a row, its servers receive no new calls, and calls there
-//! that may be repeated are retried on other servers, until a probe succeeds or a datagram arrives
-//! again.
+//! that may be repeated are moved to other servers where that is possible, until a probe succeeds or
+//! anything arrives from it.
 
 use super::*;
 
@@ -21,8 +21,8 @@
 /// Interval between checks for data centres that have been silent long enough to be probed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Interval at which a call in a data centre that seems cut off, and that could not be moved, is
-/// tried to be moved again: the retry budget grows with each accepted call.
+/// Time between two attempts to move a call out of a data centre that seems cut off. The retry
+/// budget grows with each accepted call, so that a later attempt may succeed.
 pub(crate) const MOVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Timeout for one connection of a probe: many times the latency between data centres of a region.
