--- a/src/call_trace.rs
+++ b/src/call_trace.rs
@@ -16,6 +16,8 @@
     Request,
     /// A server is being chosen, or its answer has not begun or not been read.
     Attempt,
+    /// A large body is forwarded to the caller as it arrives.
+    Body,
     /// Events are forwarded to the caller.
     Stream,
 }
@@ -25,6 +27,7 @@
         match self {
             Self::Request => "request",
             Self::Attempt => "attempt",
+            Self::Body => "body",
             Self::Stream => "stream",
         }
     }
--- a/src/context.rs
+++ b/src/context.rs
@@ -133,6 +133,15 @@
         self.router.send(retry).await.map_err(|_| actor_stopped())?
     }
 
+    /// Moves a request away from a silent server; fails, and leaves the attempt as it is, if no
+    /// other server can take the request or the retry budget does not allow it.
+    pub async fn move_stalled(&self, stalled: MoveStalled) -> Result<Placement> {
+        self.router
+            .send(stalled)
+            .await
+            .map_err(|_| actor_stopped())?
+    }
+
     /// Registers a call that is starting and returns `None`, or returns the channel of the call
     /// that is already running with the same key.
     pub async fn open_session(
@@ -149,10 +158,10 @@
     /// if it does not run here.
     pub async fn release_session(&self, key: SessionKey) -> Option<CallState> {
         let control = self.sessions.send(TakeSession(key)).await.ok()??;
-        // The caller has reconnected at the instance that requests this. Dropping `_moved` lets the
-        // call end here at once instead of keeping its callers connected until the move is
-        // confirmed.
-        let (state, _moved) = detach_call(&control).await?;
+        // The caller has reconnected at the instance that requests this, so the call ends here at
+        // once instead of keeping its callers connected until the move is confirmed.
+        let (state, moved) = detach_call(&control).await?;
+        let _ = moved.send(true);
         Some(state)
     }
 
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -119,6 +119,7 @@
     let route_request = request.route_request();
     let headers = request.outgoing_headers(request.key.as_deref());
     let mut placement = context.admit(route_request.clone(), false).await?;
+    let mut may_have_run = false;
     let mut tried = Vec::new();
     loop {
         let call = request.call(&headers, None);
@@ -139,6 +140,7 @@
             Err(failed) => failed,
         };
         log_attempt_failure(request, &placement, &failed);
+        may_have_run |= failed.may_have_run();
         tried.push(placement.server.name.clone());
         context.metrics.retry(failed.failure);
         let retry = RetryAttempt {
@@ -148,7 +150,12 @@
             tried: tried.clone(),
         };
         let next = match tried.len() < ATTEMPTS_MAX {
-            true => context.retry(retry).await,
+            true => match context.retry(retry).await {
+                Err(error) if may_have_run => {
+                    Err(error.after_lost_attempt(&placement.server.name, &failed.reason))
+                }
+                next => next,
+            },
             false => {
                 context.router.do_send(EndAttempt {
                     route_request: route_request.clone(),
@@ -297,19 +304,28 @@
                 self.failed = Some(failed);
                 AtMostOnceEvent::NotSent
             }
-            Failure::Broken | Failure::Status => {
+            Failure::Broken | Failure::Stalled | Failure::Status => {
                 AtMostOnceEvent::AnswerLost(lost_error(&self.placement, failed))
             }
         }
     }
 
-    /// Buffers the whole response and keeps it for the reply.
+    /// Buffers the whole response and keeps it for the reply. The body may take as long as the head.
     async fn buffer_response(
         &mut self,
         response: PlainResponse,
     ) -> Result<AtMostOnceEvent, AttemptError> {
         let (status, headers) = (response.status, response.headers.clone());
-        let body = read_response_body(response).await?;
+        let timeout = self.request.route.timeout;
+        let body = match tokio::time::timeout(timeout, read_response_body(response)).await {
+            Ok(read) => read?,
+            Err(_) => {
+                return Err(AttemptError {
+                    failure: Failure::Broken,
+                    reason: format!("body did not end within {} ms", timeout.as_millis()),
+                });
+            }
+        };
         let content_type = headers.get("content-type");
         let content_type = content_type
             .and_then(|value| value.to_str().ok())
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -11,7 +11,9 @@
 
 use std::rc::Rc;
 
+use tokio::time::Instant as TokioInstant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 /// Maximum number of events buffered for a slow caller; while the buffer is full, the call does not
 /// read from the engine.
@@ -20,18 +22,22 @@
 /// A caller whose buffer of events stays full for this long is detached.
 const SLOW_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// An attempt fails if the engine sends nothing for this long in the middle of a stream.
+/// If the engine sends no event with data for this long in the middle of a stream, the call is moved
+/// to another engine, if one can take it; comments do not count.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Maximum time between the head of the engine's response and its first event.
+/// Same as [`IDLE_TIMEOUT`], between the head of the engine's response and its first event.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// An attempt that cannot be moved fails if the engine sends no event with data for this long.
+const SILENCE_MAX: Duration = Duration::from_secs(600);
+
 /// Time for which a completed call can be fetched again, if it was sent with an idempotency key or
 /// handed over from another instance.
 pub const SESSION_TTL: Duration = Duration::from_secs(120);
 
-/// Maximum time for which callers stay attached while their call is handed over to another
-/// instance.
+/// Maximum time for which a call is paused until another instance has accepted it; then it continues
+/// here.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum number of failed attempts; after them the model call fails.
@@ -111,12 +117,13 @@
         /// Channel for the remaining events. Dropping its receiver detaches the caller.
         sink: mpsc::Sender<CallEvent>,
     },
-    /// Stops the call on this instance and returns the state that another instance needs to resume
-    /// it.
+    /// Pauses the call, returns the state that another instance needs to resume it, and ends it here
+    /// once another instance has it.
     HandOver {
-        /// Resolves once the other instance has accepted the call. Callers stay attached until
-        /// then, so that they do not reconnect too early.
-        moved: oneshot::Receiver<()>,
+        /// Resolves with true once the other instance has accepted the call. Callers stay attached
+        /// until then, so that they do not reconnect too early. If it resolves with false, fails or
+        /// takes too long, the call continues here.
+        moved: oneshot::Receiver<bool>,
         /// Channel for the state of the call. If its receiver has been dropped, the call continues
         /// here.
         reply: oneshot::Sender<CallState>,
@@ -167,13 +174,18 @@
     }
 }
 
-/// How an attempt at an engine ended; only `Failed` can lead to another attempt.
+/// How an attempt at an engine ended; only `Failed` and `Moved` can lead to another attempt.
 enum AttemptOutcome {
     CallerGone,
     Done,
     Failed(AttemptError),
     HandedOver,
-    Refused { body: Bytes, status: u16 },
+    /// The engine was silent, and the call has been placed on another one.
+    Moved(Placement),
+    Refused {
+        body: Bytes,
+        status: u16,
+    },
 }
 
 /// An attached caller and what it has received.
@@ -224,6 +236,8 @@
     /// True if the call continues without an attached caller, because its caller sent an
     /// idempotency key or the call was handed over from another instance.
     has_key: bool,
+    /// True once a server may have run the call, here or at an earlier instance.
+    may_have_run: bool,
     request: ChatRequest,
     /// Attached callers; more than one if a key is sent again while its first caller is still
     /// connected.
@@ -247,6 +261,8 @@
     /// True if the call is to continue without an attached caller, because its caller sent an
     /// idempotency key or the call was handed over from another instance.
     pub has_key: bool,
+    /// True if the call was moved here from another instance, whose servers may have run it.
+    pub may_have_run: bool,
     /// Request parsed from the body in `state`; the engines' request bodies are made from it.
     pub request: ChatRequest,
     /// Channel of the first caller and the position up to which it has the completion; `None` after
@@ -265,6 +281,7 @@
             control: start.control,
             dispatcher: start.dispatcher,
             has_key: start.has_key,
+            may_have_run: start.may_have_run,
             request: start.request,
             first_sink: start.sink,
             sinks: SmallVec::new(),
@@ -286,7 +303,7 @@
         loop {
             let outcome = match self.state.finish_reason {
                 Some(_) => AttemptOutcome::Done,
-                None => self.attempt(&placement).await,
+                None => self.attempt(&placement, &tried).await,
             };
             let failed = match outcome {
                 AttemptOutcome::Failed(failed) => failed,
@@ -300,8 +317,21 @@
                     self.finish(tokens_before);
                     return;
                 }
+                AttemptOutcome::Moved(next) => {
+                    tried.push(placement.server.name.clone());
+                    placement = next;
+                    continue;
+                }
                 AttemptOutcome::Refused { body, status } => {
                     self.end_attempt(&placement);
+                    if self.may_have_run {
+                        let error = Error::ResponseLost {
+                            server: placement.server.name.clone(),
+                            reason: format!("status {status}"),
+                        };
+                        self.fail(error, tokens_before).await;
+                        return;
+                    }
                     self.send_all(|| CallEvent::Refused {
                         body: body.clone(),
                         status,
@@ -349,27 +379,75 @@
             failure: failed.failure,
             tried: tried.to_vec(),
         };
-        self.context.retry(retry).await
+        match self.context.retry(retry).await {
+            Err(error) if self.may_have_run => {
+                Err(error.after_lost_attempt(&placement.server.name, &failed.reason))
+            }
+            next => next,
+        }
     }
 
-    async fn attempt(&mut self, placement: &Placement) -> AttemptOutcome {
+    /// Asks for another engine for a call whose engine sends nothing but may still be working on it.
+    /// Returns `None` if the call has to wait.
+    async fn move_stalled(
+        &self,
+        placement: &Placement,
+        tried: &[ServerName],
+        silence: Duration,
+    ) -> Option<Placement> {
+        if !self.text_only || tried.len() + 1 >= ATTEMPTS_MAX {
+            return None;
+        }
+        let mut tried = tried.to_vec();
+        tried.push(placement.server.name.clone());
+        let stalled = MoveStalled {
+            route_request: self.route_request.clone(),
+            stalled: placement.clone(),
+            tried,
+        };
+        let moved = self.context.move_stalled(stalled).await;
+        let outcome = match &moved {
+            Ok(_) => "moved".to_owned(),
+            Err(error) => format!("waits ({error})"),
+        };
+        warn!(
+            "attempt request={} server={} silent_ms={} outcome=\"{outcome}\" tokens_sent={}",
+            self.route_request.request_id,
+            placement.server.name,
+            silence.as_millis(),
+            self.state.tokens(),
+        );
+        let next = moved.ok()?;
+        self.context.metrics.retry(Failure::Stalled);
+        Some(next)
+    }
+
+    async fn attempt(&mut self, placement: &Placement, tried: &[ServerName]) -> AttemptOutcome {
         let body = self.engine_body(placement);
         let mut response = match self.open(placement, body).await {
             Ok(response) => response,
             Err(outcome) => return outcome,
         };
+        self.may_have_run = true;
         let resumed_tokens = self.state.tokens();
-        let mut parser = SseParser::default();
+        let reservation = ByteReservation::new(self.dispatcher.event_budget.clone());
+        let mut parser = SseParser::with_reservation(reservation);
         let mut idle = FIRST_EVENT_TIMEOUT;
+        let mut event_at = TokioInstant::now();
+        let mut wait_until = event_at + idle;
+        let mut has_received = false;
         loop {
             while let Some(data) = parser.next_data() {
-                idle = IDLE_TIMEOUT;
                 if let Some(outcome) = self.handle_event(placement, &data, resumed_tokens).await {
                     return outcome;
                 }
+                idle = IDLE_TIMEOUT;
+                event_at = TokioInstant::now();
+                wait_until = event_at + idle;
+                has_received = false;
             }
             let next = tokio::select! {
-                next = timeout(idle, response.next()) => next,
+                next = timeout_at(wait_until, response.next()) => next,
                 Some(control) = self.control.recv() => {
                     if self.handle_control(control).await {
                         return AttemptOutcome::HandedOver;
@@ -379,19 +457,37 @@
                 () = all_callers_gone(&self.sinks), if !self.has_key =>
                     return AttemptOutcome::CallerGone,
             };
-            let failed = match next {
+            let (failure, reason) = match next {
                 Ok(Some(Ok(bytes))) => match parser.push(&bytes) {
-                    Ok(()) => continue,
-                    Err(error) => error.to_string(),
+                    Ok(()) => {
+                        has_received = true;
+                        continue;
+                    }
+                    Err(error) => (Failure::Broken, error.to_string()),
                 },
-                Ok(Some(Err(error))) => error.to_string(),
-                Ok(None) => "stream ended without a [DONE] event".to_owned(),
-                Err(_) => format!("no event for {} s", idle.as_secs()),
+                Ok(Some(Err(error))) => (Failure::Broken, error.to_string()),
+                Ok(None) => (
+                    Failure::Broken,
+                    "stream ended without a [DONE] event".to_owned(),
+                ),
+                Err(_) => {
+                    let silence = event_at.elapsed();
+                    if silence < SILENCE_MAX {
+                        if let Some(next) = self.move_stalled(placement, tried, silence).await {
+                            return AttemptOutcome::Moved(next);
+                        }
+                        // A silent engine may still answer; one that sends other bytes may do so
+                        // without end.
+                        if !has_received {
+                            wait_until = TokioInstant::now() + idle;
+                            continue;
+                        }
+                    }
+                    let reason = format!("no event for {} s", silence.as_secs());
+                    (Failure::Stalled, reason)
+                }
             };
-            return AttemptOutcome::Failed(AttemptError {
-                failure: Failure::Broken,
-                reason: failed,
-            });
+            return AttemptOutcome::Failed(AttemptError { failure, reason });
         }
     }
 
@@ -424,7 +520,10 @@
             OpenStreamError::BadRequest { body, status } => {
                 AttemptOutcome::Refused { body, status }
             }
-            OpenStreamError::Failed(failed) => AttemptOutcome::Failed(failed),
+            OpenStreamError::Failed(failed) => {
+                self.may_have_run |= failed.may_have_run();
+                AttemptOutcome::Failed(failed)
+            }
         })
     }
 
@@ -566,13 +665,14 @@
                 false
             }
             CallControl::HandOver { moved, reply } => {
-                let handed = reply.send(self.state.clone()).is_ok();
-                if handed {
-                    // `moved` resolves with an error if the hand-over is abandoned.
-                    let _ = timeout(HAND_OVER_TIMEOUT, moved).await;
+                if reply.send(self.state.clone()).is_err() {
+                    return false;
+                }
+                let has_moved = matches!(timeout(HAND_OVER_TIMEOUT, moved).await, Ok(Ok(true)));
+                if has_moved {
                     self.sinks.clear();
                 }
-                handed
+                has_moved
             }
         }
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -4,8 +4,12 @@
 
 #[path = "decisions/answer_timeout.rs"]
 mod answer_timeout;
+#[path = "decisions/body_buffer.rs"]
+mod body_buffer;
 #[path = "decisions/budget.rs"]
 mod budget;
+#[path = "decisions/byte_budget.rs"]
+mod byte_budget;
 #[path = "decisions/capacity.rs"]
 mod capacity;
 #[path = "decisions/fleet.rs"]
@@ -20,6 +24,10 @@
 mod policy_state;
 #[path = "decisions/prefill_rate.rs"]
 mod prefill_rate;
+#[path = "decisions/router.rs"]
+mod router;
+#[path = "decisions/sse.rs"]
+mod sse;
 #[path = "decisions/topic_feed.rs"]
 mod topic_feed;
 #[path = "decisions/usage_counter.rs"]
