--- a/src/handover.rs
+++ b/src/handover.rs
@@ -100,8 +100,8 @@
 }
 
 /// Hands over all calls of this instance. Returns the number of calls that were accepted by other
-/// instances and the number that were not and continue here; calls that ended or did not return their state are in
-/// neither.
+/// instances and the number that were not and continue here; calls that ended or did not return
+/// their state are in neither.
 pub async fn hand_over_all(context: &Arc<Context>) -> (usize, usize) {
     let sessions = context
         .sessions
