--- a/src/plain.rs
+++ b/src/plain.rs
@@ -135,7 +135,8 @@
                     &request.request_id,
                     &format!("status={}", response.status),
                 );
-                return Ok(forward_response(&request.request_id, response));
+                let server = &placement.server.name;
+                return Ok(forward_response(request, server, response));
             }
             Err(failed) => failed,
         };
@@ -559,8 +560,19 @@
     }
 }
 
-fn forward_response(request_id: &str, response: PlainResponse) -> HttpResponse {
+/// Forwards a response; its body may take as long as the head.
+fn forward_response(
+    request: &PlainRequest,
+    server: &ServerName,
+    response: PlainResponse,
+) -> HttpResponse {
+    let request_id = &request.request_id;
     let mut builder = response_builder(response.status, request_id, Outcome::Whole);
     forward_headers(&mut builder, &response.headers);
-    builder.streaming(response.body)
+    builder.streaming(ForwardedBody::start(
+        response.body,
+        request_id.clone(),
+        server.clone(),
+        request.route.timeout,
+    ))
 }
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -59,7 +59,11 @@
 
 /// Starts a cluster in which one server that never ends its responses serves all calls.
 fn start_cluster(head: &'static str, first: &'static str, piece: &'static str) -> TestCluster {
-    let address = start_endless(head, first, piece);
+    start_cluster_with(start_endless(head, first, piece))
+}
+
+/// Starts a cluster in which the server at `address` serves all calls.
+fn start_cluster_with(address: SocketAddr) -> TestCluster {
     let cluster = TestClusterBuilder::default().engines(0).start();
     let mut table = cluster.table.clone();
     let server = table.backend_server.first_mut().unwrap();
@@ -121,3 +125,32 @@
     assert!(elapsed < Duration::from_secs(limit_s), "{elapsed:?}");
     assert!(reply.unwrap().status >= 400);
 }
+
+/// Sends a lookup and returns all bytes of the response until the connection is closed.
+fn look_up(cluster: &TestCluster) -> Vec<u8> {
+    let mut stream = TcpStream::connect(cluster.entries[0].caller_address()).unwrap();
+    let (name, value) = bearer("quayside");
+    let request = format!(
+        "GET /lookups/7 HTTP/1.1\r\nHost: e\r\n{name}: {value}\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut response = Vec::new();
+    // A reset ends the response like a close.
+    let _ = stream.read_to_end(&mut response);
+    response
+}
+
+/// Returns true if the last chunk of a chunked response has arrived.
+fn looks_complete(response: &[u8]) -> bool {
+    response.ends_with(b"\r\n0\r\n\r\n")
+}
+
+#[test]
+fn endless_body_of_a_lookup_does_not_hold_its_caller() {
+    let cluster = start_cluster("200 OK", "x", "x");
+    let started_at = Instant::now();
+    let response = look_up(&cluster);
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < Duration::from_secs(6), "{elapsed:?}");
+    assert!(!looks_complete(&response));
+}
