Do not report a cut response that states its length as whole

Callers of the product's own interface got the start of a response as a whole one, and an order was recorded with it, if the server closed the connection in the middle of the body.

A body that ends before its stated length now fails.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use actix_web::http::Method;
+use actix_web::http::header::CONTENT_LENGTH;
 use actix_web::http::header::HeaderMap;
 use awc::Client;
 use awc::Connector;
@@ -173,6 +174,7 @@
             &self.pooled
         };
         let url = format!("http://{}{}", server.address, call.path_and_query);
+        let is_head = call.method == Method::HEAD;
         let mut request = client.request(call.method, url).timeout(call.timeout);
         for (name, value) in call.headers {
             request = request.append_header((name.as_str(), value.as_slice()));
@@ -193,10 +195,16 @@
                 reason: "server is leaving and refused the call".to_owned(),
             });
         }
+        let headers = response.headers().clone();
+        let status = response.status().as_u16();
+        let has_body = !is_head && status != 204 && status != 304;
         Ok(PlainResponse {
-            headers: response.headers().clone(),
-            status: response.status().as_u16(),
-            body: Box::pin(response),
+            body: match content_length_of(&headers) {
+                Some(bytes) if has_body => check_length(Box::pin(response), bytes),
+                Some(_) | None => Box::pin(response),
+            },
+            headers,
+            status,
         })
     }
 
@@ -307,3 +315,25 @@
         Ok(Err(_)) | Err(_) => Bytes::new(),
     }
 }
+
+fn content_length_of(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Returns a body that fails if it ends before `bytes` have arrived: the client takes the end of a
+/// connection for the end of a body.
+fn check_length(body: ResponseStream, bytes: u64) -> ResponseStream {
+    let state = Some((body, bytes));
+    Box::pin(futures_util::stream::unfold(state, |state| async move {
+        let (mut body, missing_bytes) = state?;
+        match body.next().await {
+            Some(Ok(part)) => {
+                let missing_bytes = missing_bytes.saturating_sub(part.len() as u64);
+                Some((Ok(part), Some((body, missing_bytes))))
+            }
+            Some(Err(error)) => Some((Err(error), None)),
+            None if missing_bytes > 0 => Some((Err(PayloadError::Incomplete(None)), None)),
+            None => None,
+        }
+    }))
+}
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -154,3 +154,47 @@
     assert!(elapsed < Duration::from_secs(6), "{elapsed:?}");
     assert!(!looks_complete(&response));
 }
+
+/// Starts a cluster whose server answers requests of one method with `answer` and closes all
+/// connections.
+fn start_cutting_cluster(method: &'static str, answer: String) -> TestCluster {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut request = [0; 4 << 10];
+            let read = stream.read(&mut request).unwrap_or(0);
+            if request[..read].starts_with(method.as_bytes()) {
+                let _ = stream.write_all(answer.as_bytes());
+            }
+        }
+    });
+    start_cluster_with(address)
+}
+
+const CUT_CHUNKED: &str = "Transfer-Encoding: chunked\r\n\r\n5\r\nhalf \r\n";
+
+const CUT_WITH_LENGTH: &str = "Content-Length: 10\r\n\r\nhalf ";
+
+#[yare::parameterized(
+    chunked = { CUT_CHUNKED },
+    stated_length = { CUT_WITH_LENGTH },
+)]
+fn cut_body_of_a_lookup_does_not_look_complete(rest: &str) {
+    let cluster = start_cutting_cluster("GET", format!("HTTP/1.1 200 OK\r\n{rest}"));
+    let response = look_up(&cluster);
+    let text = String::from_utf8_lossy(&response);
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    assert!(!looks_complete(&response), "{text}");
+}
+
+#[yare::parameterized(
+    chunked = { CUT_CHUNKED },
+    stated_length = { CUT_WITH_LENGTH },
+)]
+fn cut_answer_of_an_order_is_not_reported_as_whole(rest: &str) {
+    let cluster = start_cutting_cluster("POST", format!("HTTP/1.1 200 OK\r\n{rest}"));
+    let url = cluster.url(0, "/orders/7");
+    let reply = block_on(send("POST", &url, &[bearer("quayside")], "body"));
+    assert_eq!((reply.status, reply.outcome()), (502, "unknown"));
+}
