--- a/src/admission.rs
+++ b/src/admission.rs
@@ -57,6 +57,7 @@
     let service = pick_service(serving, &route, account.as_ref(), &call)?;
     Ok(Exchange {
         account,
+        answer: AnswerProgress::None,
         body,
         call,
         connect_failures: 0,
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -97,6 +97,8 @@
 /// State of an accepted call across its attempts.
 pub(crate) struct Exchange {
     pub(crate) account: Option<AccountName>,
+    /// Part of the answer that has arrived in the last attempt.
+    pub(crate) answer: AnswerProgress,
     pub(crate) body: Bytes,
     pub(crate) call: CallHead,
     pub(crate) connect_failures: u32,
@@ -269,6 +271,7 @@
             placed,
             serving: self.serving.clone(),
         };
+        self.answer = AnswerProgress::None;
         self.tried.push(attempt.placed.server.clone());
         self.trace.begin_attempt(&attempt.placed.server);
         let sent_at = TokioInstant::now();
@@ -286,6 +289,7 @@
             }
         };
         self.sends += 1;
+        self.answer = AnswerProgress::Head;
         self.record_response_time(&attempt, sent_at.elapsed());
         self.handle_response(attempt, response).await
     }
@@ -642,9 +646,14 @@
     pub(crate) fn log_attempt_failure(&self, end: &str, reason: &str) {
         let server = self.tried.last().map_or("", |server| server.as_str());
         warn!(
-            "attempt request={} server={server} end={end} sends={} reason=\"{}\"",
+            "attempt request={} server={server} end={end} answer={} sends={} prompt={} reason=\"{}\"",
             self.call.request_id,
+            self.answer.as_str(),
             self.sends,
+            self.call
+                .prompt
+                .as_ref()
+                .map_or(String::new(), Prompt::parts_text),
             shorten(reason),
         );
     }
--- a/src/prompt.rs
+++ b/src/prompt.rs
@@ -35,6 +35,17 @@
         hashes
     }
 
+    /// Formats the parts for the log, as comma-separated `HASH:TOKENS` with the hashes in
+    /// hexadecimal.
+    pub fn parts_text(&self) -> String {
+        let mut text = String::new();
+        for part in &self.parts {
+            let separator = if text.is_empty() { "" } else { "," };
+            let _ = write!(text, "{separator}{:016x}:{}", part.hash, part.tokens);
+        }
+        text
+    }
+
     /// Returns the sum of the tokens in the first `count` parts, or in all parts if there are
     /// fewer.
     pub fn tokens_in(&self, count: usize) -> u32 {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -157,6 +157,7 @@
         let mut single: Option<Bytes> = None;
         while let Some(event) = self.events.next_event() {
             self.exchange.trace.count_event();
+            self.exchange.answer = AnswerProgress::Events;
             if let Some(id) = parse_event_id(&event) {
                 self.last_event_id = Some(id.into());
             }
