Refuse requests with a prompt part that crashes every server

Callers of sound requests saw their answers broken off as servers crashed one after the other. Cause: this edge did not remember what was running when a server crashed, so each new request with the part crashed one or two more.

Each crash is now reported with the parts of the request whose answer had just begun, reports go out with the digests, and a part is cleared by the first event of any answer on it. What is left after three crashes (five for a part on which servers have answered) is refused with 422 before it is placed, and not retried. Refusals end by an answer, by an operator (DELETE /quarantine/HASH on the status address) or 10 minutes after the last crash.

Ruled out: a quarantine by whole content, as on the own edge: no two requests are alike. Refusing all parts that crashed requests have in common: sound requests share all but one of them.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -50,6 +50,7 @@
         };
         serving.limits.borrow_mut().admit(now, account, units)?;
     }
+    let whole = request_hash(account, &call, &body);
     let priority = account
         .and_then(|account| account.priority)
         .unwrap_or(route.priority);
@@ -72,6 +73,7 @@
         trace: trace.clone(),
         tried: SmallVec::new(),
         units,
+        whole,
     })
 }
 
@@ -106,6 +108,13 @@
     Ok(body.freeze())
 }
 
+/// Hashes what is equal if the same account sends a request again: its path and body.
+fn request_hash(account: Option<&AccountPolicy>, call: &CallHead, body: &[u8]) -> PartHash {
+    let account = account.map_or("", |account| account.name.as_str());
+    let seed = xxh3_64_with_seed(call.uri.path().as_bytes(), xxh3_64(account.as_bytes()));
+    xxh3_64_with_seed(body, seed)
+}
+
 fn pick_service(
     serving: &ServingState,
     route: &PolicyRoute,
--- /dev/null
+++ b/src/crash_report.rs
@@ -0,0 +1,81 @@
+//! Report of a backend server that crashed as it began to answer a request.
+
+use super::*;
+
+/// Hash by which a part of a request is recognized: a part of a prompt, or the request as a whole.
+pub type PartHash = u64;
+
+/// Hash that identifies one crash: of the server's name and the start time of its process.
+pub type CrashId = u64;
+
+/// Parts of a request, sorted, any of which may be the cause of a crash.
+pub type SuspectParts = SmallVec<[PartHash; 4]>;
+
+/// A server's connection broke after it had sent the head of an answer and before the first event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashReport {
+    /// Time of the crash by the clock of the instance that holds the report.
+    pub at: Duration,
+    /// Crash that the report is about; several requests may have been running.
+    pub crash: CrashId,
+    /// Identifies the report, however many of its parts have been cleared.
+    pub id: u64,
+    /// Parts of the request that have not been cleared since; empty if another cause is likely.
+    pub parts: SuspectParts,
+}
+
+impl CrashReport {
+    /// Creates the report of a request with `parts`.
+    pub fn new(at: Duration, crash: CrashId, mut parts: SuspectParts) -> Self {
+        parts.sort_unstable();
+        parts.dedup();
+        let mut id = crash;
+        for part in &parts {
+            id = xxh3_64_with_seed(&part.to_le_bytes(), id);
+        }
+        Self {
+            at,
+            crash,
+            id,
+            parts,
+        }
+    }
+
+    /// Identifies the crash of the process of `server` that started at `created_ms`, in
+    /// milliseconds since 1970.
+    pub fn crash_id(server: &str, created_ms: u64) -> CrashId {
+        xxh3_64_with_seed(server.as_bytes(), created_ms)
+    }
+
+    /// Encodes the report for a peer, whose clock differs: the time becomes an age.
+    pub fn to_wire(&self, now: Duration) -> wire::CrashReport {
+        wire::CrashReport {
+            age_ms: now.saturating_sub(self.at).as_millis() as u32,
+            crash: self.crash,
+            id: self.id,
+            parts: self.parts.to_vec(),
+        }
+    }
+
+    /// Decodes a peer's report that arrived at `now`.
+    pub fn from_wire(now: Duration, wire: wire::CrashReport) -> Self {
+        let age = Duration::from_millis(u64::from(wire.age_ms));
+        let mut parts: SuspectParts = wire.parts.into_iter().take(PARTS_MAX).collect();
+        parts.sort_unstable();
+        Self {
+            at: now.saturating_sub(age),
+            crash: wire.crash,
+            id: wire.id,
+            parts,
+        }
+    }
+}
+
+/// Maximum number of parts of a report; of a longer prompt the last ones before its own are kept.
+pub const PARTS_MAX: usize = 16;
+
+/// Formats parts as comma-separated hashes in hexadecimal, by which operators name them.
+pub fn format_parts(parts: &[PartHash]) -> String {
+    let hashes: SmallVec<[String; 4]> = parts.iter().map(|part| format!("{part:016x}")).collect();
+    hashes.join(",")
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -196,6 +196,17 @@
         /// Hash of the content, as `ebonyspread quarantine` lists it.
         content_hash: u64,
     },
+    /// Parts of the request's prompt crashed several backend servers and are quarantined.
+    #[snafu(display(
+        "requests with these parts crashed {crashes} backend servers and are quarantined; change \
+         the prompt, or ask the operator to release {parts}"
+    ))]
+    QuarantinedParts {
+        /// Number of servers that crashed.
+        crashes: usize,
+        /// Hashes of the parts, as the operators' list has them.
+        parts: String,
+    },
     /// The connection to the server broke after the call was sent, so the call may have run.
     #[snafu(display(
         "connection to backend server {server} broke ({reason}); retry with the same key"
@@ -342,7 +353,9 @@
             Self::NoBackendServer { .. } => (503, "no_backend_server"),
             Self::NotRun { cause } | Self::OutcomeUnknown { cause } => cause.status(),
             Self::Overloaded { .. } => (503, "overloaded"),
-            Self::Quarantined { .. } => (422, "content_quarantined"),
+            Self::Quarantined { .. } | Self::QuarantinedParts { .. } => {
+                (422, "content_quarantined")
+            }
             Self::ResponseLost { .. } => (502, "answer_lost"),
             Self::ResponseTimeout { .. } => (504, "answer_timeout"),
             Self::ResumeMismatch => (409, "resume_mismatch"),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -116,6 +116,8 @@
     pub(crate) trace: Rc<CallTrace>,
     pub(crate) tried: SmallVec<[ServerName; 4]>,
     pub(crate) units: f64,
+    /// Hash of the whole request.
+    pub(crate) whole: PartHash,
 }
 
 /// One attempt at a server. Dropping it tells the fleet that the attempt has ended with `outcome`.
@@ -373,8 +375,58 @@
         fleet.observe_first_event(&self.service, prompt, &attempt.placed, elapsed);
     }
 
+    /// Returns the parts of the request that crash reports name.
+    fn suspect_parts(&self) -> SuspectParts {
+        let mut parts = self.shared_parts();
+        parts.push(self.whole);
+        parts
+    }
+
+    fn shared_parts(&self) -> SuspectParts {
+        let prompt = self.call.prompt.as_ref();
+        prompt.map(Prompt::shared_parts).unwrap_or_default()
+    }
+
+    /// Records that the server's connection broke. If it had only sent the head of its answer, the
+    /// request may be why it crashed.
+    pub(crate) fn record_broken_answer(&self) {
+        if self.answer != AnswerProgress::Head {
+            return;
+        }
+        if let Some(server) = self.tried.last() {
+            let parts = self.suspect_parts();
+            self.serving
+                .record_crash(&self.call.request_id, server, parts);
+        }
+    }
+
+    /// Records that a whole event has arrived in the last attempt.
+    pub(crate) fn record_event(&mut self) {
+        if self.answer == AnswerProgress::Events {
+            return;
+        }
+        self.answer = AnswerProgress::Events;
+        self.serving.record_answer(&self.shared_parts(), self.whole);
+    }
+
+    /// Fails if the request has parts that crash servers.
+    fn check_quarantine(&self, now: Duration) -> Result {
+        let quarantine = self.serving.part_quarantine.borrow();
+        let Some(refusal) = quarantine.refusal(now, &self.suspect_parts()) else {
+            return Ok(());
+        };
+        Err(Error::QuarantinedParts {
+            crashes: refusal.crashes,
+            parts: format_parts(&refusal.parts),
+        })
+    }
+
     fn place(&mut self) -> Result<PlacedAttempt> {
         let now = boot_time();
+        match self.check_quarantine(now) {
+            Err(error) if self.may_have_run => return Err(self.lost_error(error.to_string())),
+            checked => checked?,
+        }
         let query = PlacementQuery {
             prompt: self.call.prompt.as_ref(),
             service: &self.service,
@@ -489,6 +541,7 @@
         let reading = KeptBody::read(&self.serving.body_budget, response.body);
         match timeout_at(self.deadline, reading).await {
             Ok(Ok(body)) => {
+                self.record_event();
                 if body.rest.is_none() {
                     attempt.outcome = AttemptOutcome::Completed;
                 }
@@ -499,6 +552,7 @@
                 ))
             }
             Ok(Err(error)) => {
+                self.record_broken_answer();
                 attempt.outcome = AttemptOutcome::Broken;
                 Ok(AttemptResult::Lost(error.reason))
             }
@@ -534,6 +588,10 @@
     /// Withdraws a retry as [`acquire_retry`](Self::acquire_retry) does; fails with the limit that
     /// denied it.
     pub(crate) fn request_retry(&self) -> Result<(), RetryDenied> {
+        if self.check_quarantine(boot_time()).is_err() {
+            self.log_denied_retry(RetryDenied::Quarantine);
+            return Err(RetryDenied::Quarantine);
+        }
         let (sends, attempts_max) = (self.sends, self.route.attempts_max);
         if sends >= attempts_max {
             let denied = RetryDenied::Attempts {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -525,6 +525,13 @@
         }
     }
 
+    /// Identifies a crash of a server's present process; `None` if the server is leaving or not
+    /// registered.
+    pub fn crash_id(&self, id: &str) -> Option<CrashId> {
+        let record = &self.servers.get(id)?.record;
+        (!record.leaving).then(|| CrashReport::crash_id(id, record.created_ms))
+    }
+
     /// Returns true if a server has begun to answer any call of this instance since `since`.
     pub fn has_answered_since(&self, since: Duration, id: &str) -> bool {
         let server = self.servers.get(id);
--- a/src/front.rs
+++ b/src/front.rs
@@ -8,8 +8,10 @@
 
 use actix_http::HttpServiceBuilder;
 use actix_http::KeepAlive;
+use actix_http::Method;
 use actix_http::Request;
 use actix_http::Response;
+use actix_http::StatusCode;
 use actix_http::body::BoxBody;
 use actix_http::error::DispatchError;
 use actix_service::Service;
@@ -172,7 +174,45 @@
         "/metrics" => Response::ok()
             .set_body(serving.metrics.render())
             .map_into_boxed_body(),
+        path if path == "/quarantine" || path.starts_with("/quarantine/") => {
+            serve_quarantine(serving, request.method(), path)
+        }
         _ if serving.is_ready() => Response::ok().map_into_boxed_body(),
-        _ => Response::new(actix_http::StatusCode::SERVICE_UNAVAILABLE).map_into_boxed_body(),
+        _ => Response::new(StatusCode::SERVICE_UNAVAILABLE).map_into_boxed_body(),
+    }
+}
+
+/// Lists the parts of prompts whose requests are refused (`GET /quarantine`), or releases one
+/// (`DELETE /quarantine/HASH`).
+fn serve_quarantine(serving: &ServingState, method: &Method, path: &str) -> Response<BoxBody> {
+    let hash = path.strip_prefix("/quarantine/");
+    match (method, hash.map(|hash| PartHash::from_str_radix(hash, 16))) {
+        (&Method::GET, None) => {
+            let quarantine = serving.part_quarantine.borrow();
+            let refusals: Vec<&Refusal> = quarantine.refusals(boot_time()).collect();
+            json_response(StatusCode::OK, &serde_json::json!({ "refused": refusals }))
+        }
+        (&Method::DELETE, Some(Ok(part))) if serving.release_part(part) => {
+            json_response(StatusCode::OK, &serde_json::json!({ "released": true }))
+        }
+        (&Method::DELETE, Some(Ok(_))) => status_error(
+            StatusCode::NOT_FOUND,
+            "no refusal names this part; GET /quarantine lists them",
+        ),
+        _ => status_error(
+            StatusCode::BAD_REQUEST,
+            "send GET /quarantine, or DELETE /quarantine/HASH with a hash as it lists it",
+        ),
     }
 }
+
+fn status_error(status: StatusCode, remedy: &str) -> Response<BoxBody> {
+    json_response(status, &serde_json::json!({ "error": remedy }))
+}
+
+fn json_response(status: StatusCode, body: &Json) -> Response<BoxBody> {
+    Response::build(status)
+        .insert_header(("content-type", "application/json"))
+        .body(body.to_string())
+        .map_into_boxed_body()
+}
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -107,6 +107,7 @@
     let mut fleet = serving.fleet.borrow_mut();
     fleet.update_peer_loads(now, peer, &digest.loads);
     fleet.update_peer_rates(now, peer, digest.prefill_rates);
+    serving.merge_crash_reports(now, digest.crash_reports);
     let mut limits = serving.limits.borrow_mut();
     limits.update_peer_demand(now, peer, digest.demands);
     let mut usage = serving.usage.borrow_mut();
@@ -116,7 +117,7 @@
 async fn send_digests(serving: Rc<ServingState>, socket: Rc<UdpSocket>) {
     for round in 0_u64.. {
         let now = boot_time();
-        let mut digest = local_digest(&serving, now);
+        let mut digest = local_digest(&serving, now, round);
         let own = &serving.settings.instance;
         let targets = serving.peers.borrow().digest_targets(now, own, round);
         for (address, echoed) in targets {
@@ -131,7 +132,8 @@
 
 /// Builds the current digest. The caller sets `echoed`, the send time of the last digest from the
 /// receiver, for each peer.
-fn local_digest(serving: &ServingState, now: Duration) -> PeerDigest {
+fn local_digest(serving: &ServingState, now: Duration, round: u64) -> PeerDigest {
+    let crash_reports = serving.crash_reports_to_send(now, round);
     let policy = serving.policy.borrow();
     let mut fleet = serving.fleet.borrow_mut();
     let mut loads = HashMap::new();
@@ -142,6 +144,7 @@
         }
     }
     PeerDigest {
+        crash_reports,
         data_centre: serving.settings.data_centre.clone(),
         demands: serving.limits.borrow_mut().demand(now),
         echoed: None,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -15,6 +15,7 @@
     centre_cut_offs: Counter<u64>,
     connection_errors: Counter<u64>,
     control_bytes: Counter<u64>,
+    crash_reports: Counter<u64>,
     disconnected_calls: Counter<u64>,
     first_token_ms: Histogram<f64>,
     interrupted_streams: Counter<u64>,
@@ -53,6 +54,7 @@
             centre_cut_offs: meter.u64_counter("centre_cut_offs").build(),
             connection_errors: meter.u64_counter("connection_errors").build(),
             control_bytes: meter.u64_counter("control_bytes").build(),
+            crash_reports: meter.u64_counter("crash_reports").build(),
             disconnected_calls: meter.u64_counter("disconnected_calls").build(),
             first_token_ms: meter
                 .f64_histogram("first_token_ms")
@@ -98,6 +100,11 @@
         self.control_bytes.add(bytes as u64, &labels);
     }
 
+    /// Counts a server that crashed as it began to answer a request of this instance.
+    pub fn crash_report(&self) {
+        self.crash_reports.add(1, &[]);
+    }
+
     /// Counts a call that was dropped because its caller's connection ended, by the side that closed
     /// the connection.
     pub fn disconnected_call(&self, closed_by: ClosedBy) {
--- /dev/null
+++ b/src/part_quarantine.rs
@@ -0,0 +1,377 @@
+//! Finds the part of a prompt that crashes every backend server that begins to answer it, and
+//! refuses requests with that part.
+//!
+//! The fault pattern that this is designed for: requests that share one part, and are otherwise
+//! different, arrive at any instance; each crashes the server that answers it, together with the
+//! answers of many sound requests there. The cause is found by elimination. Each crash is reported
+//! with the parts of the request whose answer had just begun, since the others were either waiting
+//! or past that point. A part is cleared of all earlier crashes when a server sends the first event
+//! of an answer on it. What no answer has cleared and enough crashes have in common is refused.
+//!
+//! Two causes at once share innocent parts, such as a common first part. The part whose last answer
+//! is the longest ago explains its crashes, and these do not count against any other part.
+//!
+//! Instances exchange the reports, so that all of them reach the same decision. The state does no
+//! I/O. It survives no restart of all instances at once, after which the cause has to crash
+//! [`CRASHES_TO_REFUSE`] servers again.
+
+use super::*;
+
+use std::cmp::Reverse;
+
+/// Crashes after which a part is refused on which no server is known to have answered.
+pub const CRASHES_TO_REFUSE: usize = 3;
+
+/// Crashes, without an answer since the first of them, after which a part is refused on which
+/// servers have answered before.
+pub const CRASHES_TO_REFUSE_ANSWERED: usize = 5;
+
+/// Time after the last crash for which parts are refused. The next crash afterwards, within
+/// [`REPORT_TTL`], refuses them again.
+pub const REFUSAL_TIME: Duration = Duration::from_secs(600);
+
+/// Time after which a report is dropped.
+pub const REPORT_TTL: Duration = Duration::from_secs(3_600);
+
+/// Maximum number of reports; the oldest that explain no refusal are dropped first.
+pub const REPORTS_MAX: usize = 256;
+
+/// Maximum number of reports that are kept for one refusal.
+const REPORTS_PER_REFUSAL_MAX: usize = 8;
+
+/// Maximum number of parts whose last answer is remembered; then the older half is dropped.
+const ANSWERED_MAX: usize = 8_192;
+
+/// Time for which a new or changed report is sent in every round of digests. In this time an
+/// instance sends it to more than a hundred peers, each of which sends it on.
+const NEWS_TIME: Duration = Duration::from_secs(2);
+
+/// Reports that are no longer news are sent only in one of this many rounds, for instances that
+/// have started since.
+const OLD_REPORT_ROUNDS: u64 = 8;
+
+/// Maximum number of reports in one digest, about 50 bytes each.
+pub const REPORTS_PER_DIGEST_MAX: usize = 24;
+
+/// Parts whose combination crashes servers; requests that have all of them are refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Refusal {
+    /// Number of servers that crashed.
+    pub crashes: usize,
+    /// Time of the last crash by the clock of this instance.
+    #[serde(skip)]
+    pub last_crash_at: Duration,
+    /// Parts that all crashed requests had in common and that nothing has cleared.
+    #[serde(serialize_with = "serialize_parts")]
+    pub parts: SuspectParts,
+}
+
+impl Refusal {
+    fn matches(&self, now: Duration, parts: &[PartHash]) -> bool {
+        let is_current = now.saturating_sub(self.last_crash_at) < REFUSAL_TIME;
+        is_current && self.parts.iter().all(|part| parts.contains(part))
+    }
+}
+
+fn serialize_parts<S: serde::Serializer>(
+    parts: &SuspectParts,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(&format_parts(parts))
+}
+
+/// Beginning or end of a refusal, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RefusalChange {
+    /// Requests with these parts are refused from now on.
+    Begun(Refusal),
+    /// They are accepted again, or the parts of the refusal have changed.
+    Ended(Refusal),
+}
+
+#[derive(Debug)]
+struct KnownReport {
+    /// Time at which this instance received it or one of its parts was cleared.
+    changed_at: Duration,
+    report: CrashReport,
+}
+
+/// Reports of all instances, and the parts that are refused because of them.
+#[derive(Debug, Default)]
+pub struct PartQuarantine {
+    /// Last time at which a server began to answer on a part, as this instance saw it.
+    answered_at: HashMap<PartHash, Duration>,
+    refusals: Vec<Refusal>,
+    reports: Vec<KnownReport>,
+}
+
+impl PartQuarantine {
+    /// Records that a server sent the first event of an answer to a request with these parts.
+    /// `whole` is the hash of the whole request, which is remembered only if it is suspected.
+    pub fn record_answer(
+        &mut self,
+        now: Duration,
+        shared: &[PartHash],
+        whole: PartHash,
+    ) -> Vec<RefusalChange> {
+        let mut is_suspected = false;
+        for known in &self.reports {
+            let parts = &known.report.parts;
+            is_suspected |= parts.iter().any(|part| shared.contains(part));
+            if parts.contains(&whole) {
+                is_suspected = true;
+                self.answered_at.insert(whole, now);
+            }
+        }
+        for part in shared {
+            self.answered_at.insert(*part, now);
+        }
+        self.limit_answered();
+        match is_suspected {
+            true => self.update(now),
+            false => Vec::new(),
+        }
+    }
+
+    /// Records a crash that this instance saw.
+    pub fn record_crash(&mut self, now: Duration, report: CrashReport) -> Vec<RefusalChange> {
+        self.merge(now, vec![report])
+    }
+
+    /// Applies the reports of a peer's digest. Parts that the peer has cleared are cleared here,
+    /// too.
+    pub fn merge(&mut self, now: Duration, reports: Vec<CrashReport>) -> Vec<RefusalChange> {
+        let mut is_changed = false;
+        for report in reports {
+            let known = self.reports.iter_mut().find(|k| k.report.id == report.id);
+            let Some(known) = known else {
+                is_changed = true;
+                self.reports.push(KnownReport {
+                    changed_at: now,
+                    report,
+                });
+                continue;
+            };
+            known.report.at = known.report.at.min(report.at);
+            let count = known.report.parts.len();
+            known
+                .report
+                .parts
+                .retain(|part| report.parts.contains(part));
+            if known.report.parts.len() < count {
+                known.changed_at = now;
+                is_changed = true;
+            }
+        }
+        match is_changed {
+            true => self.update(now),
+            false => Vec::new(),
+        }
+    }
+
+    /// Returns the refusal that a request with these parts falls under.
+    pub fn refusal(&self, now: Duration, parts: &[PartHash]) -> Option<&Refusal> {
+        self.refusals
+            .iter()
+            .find(|refusal| refusal.matches(now, parts))
+    }
+
+    /// Returns what is refused now.
+    pub fn refusals(&self, now: Duration) -> impl Iterator<Item = &Refusal> {
+        let is_current = move |r: &&Refusal| now.saturating_sub(r.last_crash_at) < REFUSAL_TIME;
+        self.refusals.iter().filter(is_current)
+    }
+
+    /// Clears a part at an operator's request, here and, by the next digests, at all instances.
+    /// Requests with it are accepted until they crash servers again. Returns no change if the part
+    /// is not refused.
+    pub fn release(&mut self, now: Duration, part: PartHash) -> Vec<RefusalChange> {
+        let is_refused = self.refusals.iter().any(|r| r.parts.contains(&part));
+        if !is_refused {
+            return Vec::new();
+        }
+        // The other parts of the refusal are no more likely to be the cause.
+        let mut released: SuspectParts = SuspectParts::new();
+        for refusal in &self.refusals {
+            if refusal.parts.contains(&part) {
+                released.extend_from_slice(&refusal.parts);
+            }
+        }
+        for part in released {
+            self.answered_at.insert(part, now);
+        }
+        self.update(now)
+    }
+
+    /// Returns the reports for the digests of this round, at most [`REPORTS_PER_DIGEST_MAX`], and
+    /// drops those that have expired.
+    pub fn reports_to_send(
+        &mut self,
+        now: Duration,
+        round: u64,
+    ) -> (Vec<CrashReport>, Vec<RefusalChange>) {
+        let changes = self.update(now);
+        let sends_old = round.is_multiple_of(OLD_REPORT_ROUNDS);
+        let mut due = Vec::new();
+        for known in &self.reports {
+            let is_news = now.saturating_sub(known.changed_at) < NEWS_TIME;
+            if is_news || sends_old {
+                due.push(known.report.clone());
+            }
+        }
+        if due.len() > REPORTS_PER_DIGEST_MAX {
+            let first = (round as usize).wrapping_mul(REPORTS_PER_DIGEST_MAX) % due.len();
+            due.rotate_left(first);
+            due.truncate(REPORTS_PER_DIGEST_MAX);
+        }
+        (due, changes)
+    }
+
+    /// Number of reports held.
+    pub fn report_count(&self) -> usize {
+        self.reports.len()
+    }
+
+    /// Clears parts that were answered since their crash, drops reports that are no longer needed,
+    /// and decides anew what is refused.
+    fn update(&mut self, now: Duration) -> Vec<RefusalChange> {
+        for known in &mut self.reports {
+            let at = known.report.at;
+            let count = known.report.parts.len();
+            let answered_at = &self.answered_at;
+            known
+                .report
+                .parts
+                .retain(|part| answered_at.get(part).is_none_or(|answered| *answered <= at));
+            if known.report.parts.len() < count {
+                known.changed_at = now;
+            }
+        }
+        // A report without parts is kept as long as it is news, so that peers clear theirs.
+        self.reports.retain(|known| {
+            let is_news = now.saturating_sub(known.changed_at) < NEWS_TIME;
+            let is_expired = now.saturating_sub(known.report.at) >= REPORT_TTL;
+            !is_expired && (is_news || !known.report.parts.is_empty())
+        });
+        let before = std::mem::take(&mut self.refusals);
+        self.refusals = self.decide();
+        self.limit_reports();
+        changes(&before, &self.refusals)
+    }
+
+    /// Finds the parts that explain the reports, the likeliest cause first.
+    fn decide(&self) -> Vec<Refusal> {
+        let mut unexplained: Vec<&CrashReport> = self.reports.iter().map(|k| &k.report).collect();
+        let mut refusals = Vec::new();
+        while let Some(cause) = self.likeliest_cause(&unexplained) {
+            let mut parts: Option<SuspectParts> = None;
+            let mut crashes: SmallVec<[CrashId; 8]> = SmallVec::new();
+            let mut last_crash_at = Duration::ZERO;
+            for report in unexplained.iter().filter(|r| r.parts.contains(&cause)) {
+                let common = parts.get_or_insert_with(|| report.parts.clone());
+                common.retain(|part| report.parts.contains(part));
+                if !crashes.contains(&report.crash) {
+                    crashes.push(report.crash);
+                }
+                last_crash_at = last_crash_at.max(report.at);
+            }
+            unexplained.retain(|report| !report.parts.contains(&cause));
+            refusals.push(Refusal {
+                crashes: crashes.len(),
+                last_crash_at,
+                parts: self.without_answered(parts.unwrap_or_default()),
+            });
+        }
+        refusals
+    }
+
+    /// Returns the part with enough crashes whose last answer is the longest ago; of several, the
+    /// one with the most crashes.
+    fn likeliest_cause(&self, reports: &[&CrashReport]) -> Option<PartHash> {
+        let mut crashes: BTreeMap<PartHash, SmallVec<[CrashId; 8]>> = BTreeMap::new();
+        for report in reports {
+            for part in &report.parts {
+                let known = crashes.entry(*part).or_default();
+                if !known.contains(&report.crash) {
+                    known.push(report.crash);
+                }
+            }
+        }
+        let mut best = None;
+        for (part, crashes) in crashes {
+            let answered_at = self.answered_at.get(&part).copied();
+            let needed = match answered_at {
+                Some(_) => CRASHES_TO_REFUSE_ANSWERED,
+                None => CRASHES_TO_REFUSE,
+            };
+            if crashes.len() < needed {
+                continue;
+            }
+            let rank = (answered_at, Reverse(crashes.len()), part);
+            if best.is_none_or(|best| rank < best) {
+                best = Some(rank);
+            }
+        }
+        best.map(|(.., part)| part)
+    }
+
+    /// Leaves out the parts on which servers have answered before, unless that applies to all.
+    fn without_answered(&self, parts: SuspectParts) -> SuspectParts {
+        let is_new = |part: &PartHash| !self.answered_at.contains_key(part);
+        match parts.iter().any(is_new) {
+            true => parts.into_iter().filter(is_new).collect(),
+            false => parts,
+        }
+    }
+
+    fn limit_reports(&mut self) {
+        self.reports.sort_by_key(|known| Reverse(known.report.at));
+        for refusal in &self.refusals {
+            let mut kept = 0;
+            self.reports.retain(|known| {
+                let parts = &known.report.parts;
+                let is_of_refusal = refusal.parts.iter().all(|part| parts.contains(part));
+                kept += usize::from(is_of_refusal);
+                !is_of_refusal || kept <= REPORTS_PER_REFUSAL_MAX
+            });
+        }
+        if self.reports.len() <= REPORTS_MAX {
+            return;
+        }
+        let refusals = &self.refusals;
+        let explains = |report: &CrashReport| {
+            let has = |refusal: &Refusal| refusal.parts.iter().all(|p| report.parts.contains(p));
+            refusals.iter().any(has)
+        };
+        // Stable: each half stays in the order of time.
+        self.reports
+            .sort_by_key(|known| Reverse(explains(&known.report)));
+        self.reports.truncate(REPORTS_MAX);
+    }
+
+    fn limit_answered(&mut self) {
+        if self.answered_at.len() <= ANSWERED_MAX {
+            return;
+        }
+        let mut times: Vec<Duration> = self.answered_at.values().copied().collect();
+        let (_, median, _) = times.select_nth_unstable(ANSWERED_MAX / 2);
+        let median = *median;
+        self.answered_at.retain(|_, at| *at > median);
+    }
+}
+
+fn changes(before: &[Refusal], after: &[Refusal]) -> Vec<RefusalChange> {
+    let has = |refusals: &[Refusal], parts| refusals.iter().any(|r| r.parts == parts);
+    let mut changes = Vec::new();
+    for refusal in before {
+        if !has(after, refusal.parts.clone()) {
+            changes.push(RefusalChange::Ended(refusal.clone()));
+        }
+    }
+    for refusal in after {
+        if !has(before, refusal.parts.clone()) {
+            changes.push(RefusalChange::Begun(refusal.clone()));
+        }
+    }
+    changes
+}
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -9,6 +9,8 @@
 /// State that an instance sends to one peer; in one round only `echoed` differs between peers.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct PeerDigest {
+    /// Reports of servers that crashed as they began to answer a request.
+    pub crash_reports: Vec<wire::CrashReport>,
     /// Data centre of the sender; the arrival of the digest shows that it can be reached.
     pub data_centre: DataCentreName,
     /// Units (calls or tokens, as the account's limit counts them) that the sender admitted and
@@ -83,6 +85,7 @@
                 service: service.to_string(),
             });
         Self {
+            crash_reports: digest.crash_reports.clone(),
             data_centre: digest.data_centre.to_string(),
             demands: demands.collect(),
             echoed_ms: digest.echoed.map_or(0, |echoed| echoed.as_millis() as u64),
@@ -112,6 +115,7 @@
         let demands = wire.demands.into_iter();
         let work = wire.work.into_iter();
         Self {
+            crash_reports: wire.crash_reports,
             data_centre: wire.data_centre.into(),
             demands: demands
                 .map(|wire| {
--- a/src/prompt.rs
+++ b/src/prompt.rs
@@ -57,6 +57,14 @@
         self.parts.len().saturating_sub(1)
     }
 
+    /// Returns the hashes of the parts that other prompts may share, at most the last
+    /// [`PARTS_MAX`] of them.
+    pub fn shared_parts(&self) -> SuspectParts {
+        let count = self.shared_count();
+        let first = count.saturating_sub(PARTS_MAX);
+        self.parts[first..count].iter().map(|p| p.hash).collect()
+    }
+
     /// Returns the tokens charged to the account's limit: those of the prompt plus the maximum that
     /// may be generated.
     pub fn units(&self) -> f64 {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -157,7 +157,7 @@
         let mut single: Option<Bytes> = None;
         while let Some(event) = self.events.next_event() {
             self.exchange.trace.count_event();
-            self.exchange.answer = AnswerProgress::Events;
+            self.exchange.record_event();
             if let Some(id) = parse_event_id(&event) {
                 self.last_event_id = Some(id.into());
             }
@@ -195,6 +195,9 @@
 
     /// Resumes on another server if the stream is resumable and the retry budget allows it.
     async fn try_resume(&mut self, cause: Interruption, reason: String) -> Result {
+        if cause == Interruption::Broken {
+            self.exchange.record_broken_answer();
+        }
         let retry = match self.exchange.route.call_kind.is_repeatable() {
             true => self.exchange.request_retry(),
             false => Err(RetryDenied::Route),
--- a/src/retry_denied.rs
+++ b/src/retry_denied.rs
@@ -29,6 +29,8 @@
     },
     /// No other server is healthy.
     NoServer,
+    /// The request has parts that crash servers.
+    Quarantine,
     /// The route's calls may not be sent again once a server may have run them.
     Route,
     /// The balance of the service (or, where calls are counted by server, of the server) does not
@@ -49,6 +51,7 @@
             Self::Attempts { .. } => "attempts",
             Self::Instance { .. } => "instance",
             Self::NoServer => "servers",
+            Self::Quarantine => "quarantine",
             Self::Route => "route",
             Self::Service { .. } => "service",
         }
@@ -67,7 +70,7 @@
                 attempts_max,
                 sends,
             } => write!(f, " sends={sends} attempts_max={attempts_max}"),
-            Self::NoServer | Self::Route => Ok(()),
+            Self::NoServer | Self::Quarantine | Self::Route => Ok(()),
         }
     }
 }
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -108,6 +108,8 @@
     peer_read_at: Cell<Option<Duration>>,
     /// Other instances, from the addresses that they registered in the log.
     pub peers: RefCell<Peers>,
+    /// Parts of prompts that crash servers, whose requests are refused.
+    pub part_quarantine: RefCell<PartQuarantine>,
     /// Newest policy that the instance has received, and when it was last proven to be the newest.
     pub policy: RefCell<PolicyState>,
     /// Maximum time since the policy was last proven to be the newest; a reload can change it.
@@ -155,6 +157,7 @@
             metrics,
             peer_read_at: Cell::default(),
             peers: RefCell::default(),
+            part_quarantine: RefCell::default(),
             policy: RefCell::default(),
             policy_age_max: Cell::new(settings.policy_age_max),
             retry_budget: RefCell::default(),
@@ -198,6 +201,62 @@
         feeds.entry(topic).or_default().confirm_end(at, end);
     }
 
+    /// Records that a server crashed as it began to answer a request with these parts. Has no effect
+    /// if the server is leaving, since its connections then break for that reason.
+    pub fn record_crash(&self, request_id: &str, server: &ServerName, parts: SuspectParts) {
+        let Some(crash) = self.fleet.borrow().crash_id(server) else {
+            return;
+        };
+        let now = boot_time();
+        let report = CrashReport::new(now, crash, parts);
+        warn!(
+            "crash request={request_id} server={server} report={:016x} parts={}",
+            report.id,
+            format_parts(&report.parts),
+        );
+        self.metrics.crash_report();
+        let changes = self.part_quarantine.borrow_mut().record_crash(now, report);
+        log_refusals(&changes, "crash");
+    }
+
+    /// Records that a server sent the first event of an answer to a request. `shared` are its parts
+    /// that other requests may have, `whole` is the hash of the request.
+    pub fn record_answer(&self, shared: &[PartHash], whole: PartHash) {
+        let mut quarantine = self.part_quarantine.borrow_mut();
+        log_refusals(
+            &quarantine.record_answer(boot_time(), shared, whole),
+            "answer",
+        );
+    }
+
+    /// Applies the crash reports of a peer's digest.
+    pub fn merge_crash_reports(&self, now: Duration, reports: Vec<wire::CrashReport>) {
+        if reports.is_empty() {
+            return;
+        }
+        let reports = reports.into_iter();
+        let reports = reports.map(|wire| CrashReport::from_wire(now, wire));
+        let mut quarantine = self.part_quarantine.borrow_mut();
+        log_refusals(&quarantine.merge(now, reports.collect()), "peer");
+    }
+
+    /// Returns the crash reports for the digests of a round.
+    pub fn crash_reports_to_send(&self, now: Duration, round: u64) -> Vec<wire::CrashReport> {
+        let mut quarantine = self.part_quarantine.borrow_mut();
+        let (reports, changes) = quarantine.reports_to_send(now, round);
+        log_refusals(&changes, "expiry");
+        reports.iter().map(|report| report.to_wire(now)).collect()
+    }
+
+    /// Accepts requests with a part again, at an operator's request. Returns false if the part is
+    /// not refused.
+    pub fn release_part(&self, part: PartHash) -> bool {
+        let mut quarantine = self.part_quarantine.borrow_mut();
+        let changes = quarantine.release(boot_time(), part);
+        log_refusals(&changes, "operator");
+        !changes.is_empty()
+    }
+
     /// Records that reads of a topic fail. Peers get no records of it until a read succeeds again.
     pub fn mark_feed_lost(&self, topic: &'static str) {
         let mut feeds = self.feeds.borrow_mut();
@@ -257,3 +316,17 @@
 fn window_of(unix: Duration, length: Duration) -> UsageWindow {
     (unix.as_millis() / length.as_millis().max(1)) as UsageWindow
 }
+
+fn log_refusals(changes: &[RefusalChange], by: &str) {
+    for change in changes {
+        let (state, refusal) = match change {
+            RefusalChange::Begun(refusal) => ("begun", refusal),
+            RefusalChange::Ended(refusal) => ("ended", refusal),
+        };
+        warn!(
+            "quarantine parts={} state={state} by={by} crashes={}",
+            format_parts(&refusal.parts),
+            refusal.crashes,
+        );
+    }
+}
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -612,6 +612,24 @@
     pub leaving: bool,
     #[prost(string, tag = "13")]
     pub data_centre: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "14")]
+    pub crash_reports: ::prost::alloc::vec::Vec<CrashReport>,
+}
+/// A backend server crashed as it began to answer a request.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashReport {
+    /// Identifies the report; equal for all instances that hold it.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Hash of the server's name and the start time of its process.
+    #[prost(fixed64, tag = "2")]
+    pub crash: u64,
+    /// Time since the crash.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// Hashes of the parts of the request that may be the cause.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub parts: ::prost::alloc::vec::Vec<u64>,
 }
 /// Load that the sender puts on a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
