Replay the crashing prompt part in tests of the decision

Two causes at once, a part that sound requests share, a part that was answered before, the loss of many servers at once, release, expiry, a flood of reports, and the spread over 6, 85 and 410 instances.

--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -18,6 +18,8 @@
 mod keyed_view;
 #[path = "decisions/lease.rs"]
 mod lease;
+#[path = "decisions/part_quarantine.rs"]
+mod part_quarantine;
 #[path = "decisions/peers.rs"]
 mod peers;
 #[path = "decisions/policy_state.rs"]
--- /dev/null
+++ b/tests/decisions/part_quarantine.rs
@@ -0,0 +1,298 @@
+//! Requests with a part that crashes servers, as instances report the crashes to each other.
+
+use std::time::Duration;
+
+use ebonyspread::InstanceName;
+use ebonyspread::crash_report::CrashReport;
+use ebonyspread::crash_report::PartHash;
+use ebonyspread::gossip::DIGEST_INTERVAL;
+use ebonyspread::part_quarantine::CRASHES_TO_REFUSE;
+use ebonyspread::part_quarantine::CRASHES_TO_REFUSE_ANSWERED;
+use ebonyspread::part_quarantine::PartQuarantine;
+use ebonyspread::part_quarantine::REFUSAL_TIME;
+use ebonyspread::part_quarantine::REPORT_TTL;
+use ebonyspread::part_quarantine::REPORTS_MAX;
+use ebonyspread::part_quarantine::REPORTS_PER_DIGEST_MAX;
+use ebonyspread::part_quarantine::RefusalChange;
+use ebonyspread::peers::Peers;
+use prost::Message;
+use smallvec::SmallVec;
+
+const NOW: Duration = Duration::from_secs(100);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Crashes of which users accept that a part causes them before it is refused.
+const CRASHES_ALLOWED: u64 = 5;
+
+/// Time after those crashes by which all instances have to refuse the part: the shortest of the
+/// deployments.
+const REFUSED_WITHIN: Duration = Duration::from_secs(3);
+
+/// First part of most prompts.
+const COMMON: PartHash = 1;
+const CAUSE: PartHash = 1_000;
+const OTHER_CAUSE: PartHash = 2_000;
+
+fn report(at: Duration, crash: u64, parts: &[PartHash]) -> CrashReport {
+    CrashReport::new(at, crash, SmallVec::from_slice(parts))
+}
+
+/// Reports `count` crashes, a second apart, of requests with `parts` and a part of their own.
+fn crash(quarantine: &mut PartQuarantine, from: Duration, count: u64, parts: &[PartHash]) {
+    for number in 0..count {
+        let at = from + SECOND * number as u32;
+        let crash = from.as_millis() as u64 * 100 + number;
+        let mut all = parts.to_vec();
+        all.push(1_000_000 + crash);
+        quarantine.record_crash(at, report(at, crash, &all));
+    }
+}
+
+fn is_refused(quarantine: &PartQuarantine, now: Duration, parts: &[PartHash]) -> bool {
+    quarantine.refusal(now, parts).is_some()
+}
+
+#[test]
+fn part_that_crashes_each_server_is_refused() {
+    let mut quarantine = PartQuarantine::default();
+    let count = CRASHES_TO_REFUSE as u64;
+    crash(&mut quarantine, NOW, count - 1, &[COMMON, CAUSE]);
+    assert!(!is_refused(&quarantine, NOW + SECOND * 2, &[COMMON, CAUSE]));
+    crash(&mut quarantine, NOW + SECOND * 2, 1, &[COMMON, CAUSE]);
+    let now = NOW + SECOND * 3;
+    assert!(is_refused(&quarantine, now, &[COMMON, CAUSE, 7]));
+    assert!(!is_refused(&quarantine, now, &[COMMON, 8]));
+}
+
+#[test]
+fn servers_that_crash_are_counted_and_not_the_requests_that_ran_there() {
+    let mut quarantine = PartQuarantine::default();
+    for number in 0..20 {
+        quarantine.record_crash(NOW, report(NOW, 1, &[COMMON, CAUSE, number]));
+    }
+    assert!(!is_refused(&quarantine, NOW, &[COMMON, CAUSE]));
+}
+
+// All requests that crash servers have the same account's parts; a sound one has those, too.
+#[test]
+fn sound_requests_that_share_all_other_parts_are_served() {
+    let mut quarantine = PartQuarantine::default();
+    let count = CRASHES_TO_REFUSE as u64;
+    crash(&mut quarantine, NOW, count, &[COMMON, 50, CAUSE]);
+    let now = NOW + SECOND * 3;
+    assert!(!is_refused(&quarantine, now, &[COMMON, 50, 8]));
+    quarantine.record_answer(now, &[COMMON, 50], 8);
+    assert!(is_refused(&quarantine, now, &[CAUSE]));
+    let refusals: Vec<_> = quarantine.refusals(now).collect();
+    assert_eq!(refusals[0].parts.as_slice(), [CAUSE]);
+}
+
+#[test]
+fn part_that_is_answered_between_crashes_is_never_refused() {
+    let mut quarantine = PartQuarantine::default();
+    for number in 0..50 {
+        let at = NOW + SECOND * number;
+        let own = u64::from(number) + 10_000;
+        quarantine.record_crash(at, report(at, own, &[COMMON, own]));
+        quarantine.record_crash(at, report(at, own + 100, &[COMMON, own + 100]));
+        assert!(!is_refused(&quarantine, at, &[COMMON, 7]), "{number}");
+        quarantine.record_answer(at + SECOND / 2, &[COMMON], 7);
+    }
+}
+
+// Two causes crash servers by turns; their requests share the first part with all others. The
+// instance has seen answers on it before, and none while servers crash.
+#[test]
+fn two_causes_at_once_do_not_refuse_the_part_that_they_share() {
+    let mut quarantine = PartQuarantine::default();
+    quarantine.record_answer(NOW, &[COMMON], 7);
+    for number in 1..=8 {
+        let at = NOW + SECOND * number as u32;
+        let cause = if number % 2 == 0 { CAUSE } else { OTHER_CAUSE };
+        let parts = [COMMON, cause, cause + number];
+        quarantine.record_crash(at, report(at, number, &parts));
+        if number >= 6 {
+            assert!(!is_refused(&quarantine, at, &[COMMON, 8]), "{number}");
+            assert!(is_refused(&quarantine, at, &[COMMON, CAUSE]));
+            assert!(is_refused(&quarantine, at, &[COMMON, OTHER_CAUSE]));
+        }
+    }
+}
+
+#[test]
+fn part_that_was_answered_before_is_refused_once_it_crashes_servers() {
+    let mut quarantine = PartQuarantine::default();
+    quarantine.record_answer(NOW, &[COMMON, CAUSE], 7);
+    for number in 1..=CRASHES_TO_REFUSE_ANSWERED as u64 {
+        let at = NOW + SECOND * number as u32;
+        quarantine.record_crash(at, report(at, number, &[COMMON, CAUSE, 7_000 + number]));
+        quarantine.record_answer(at + SECOND / 2, &[COMMON], 8);
+    }
+    let now = NOW + SECOND * 6;
+    assert!(is_refused(&quarantine, now, &[COMMON, CAUSE, 9]));
+    assert!(!is_refused(&quarantine, now, &[COMMON, 9]));
+    assert!(CRASHES_TO_REFUSE_ANSWERED as u64 <= CRASHES_ALLOWED);
+}
+
+// A data centre loses power: many servers end in the same moment, with requests whose answers had
+// just begun. Other servers answer on the same parts soon after.
+#[test]
+fn loss_of_many_servers_at_once_refuses_nothing_for_long() {
+    let mut quarantine = PartQuarantine::default();
+    quarantine.record_answer(NOW, &[COMMON], 7);
+    for number in 0..20 {
+        quarantine.record_crash(
+            NOW + SECOND,
+            report(NOW + SECOND, number, &[COMMON, number]),
+        );
+    }
+    let now = NOW + SECOND + SECOND / 10;
+    quarantine.record_answer(now, &[COMMON], 7);
+    assert!(!is_refused(&quarantine, now, &[COMMON, 8]));
+    assert_eq!(quarantine.refusals(now).count(), 0);
+}
+
+#[test]
+fn request_that_is_sent_again_unchanged_is_refused_and_no_other() {
+    let mut quarantine = PartQuarantine::default();
+    quarantine.record_answer(NOW, &[COMMON], 7);
+    for number in 0..CRASHES_TO_REFUSE as u64 {
+        let at = NOW + SECOND;
+        quarantine.record_crash(at, report(at, number, &[COMMON, 77]));
+    }
+    assert!(is_refused(&quarantine, NOW + SECOND, &[COMMON, 77]));
+    assert!(!is_refused(&quarantine, NOW + SECOND, &[COMMON, 78]));
+}
+
+#[test]
+fn refusal_ends_after_its_time_and_the_next_crash_renews_it() {
+    let mut quarantine = PartQuarantine::default();
+    crash(&mut quarantine, NOW, 3, &[CAUSE]);
+    let last = NOW + SECOND * 2;
+    assert!(is_refused(
+        &quarantine,
+        last + REFUSAL_TIME - SECOND,
+        &[CAUSE]
+    ));
+    let later = last + REFUSAL_TIME;
+    assert!(!is_refused(&quarantine, later, &[CAUSE]));
+    crash(&mut quarantine, later, 1, &[CAUSE]);
+    assert!(is_refused(&quarantine, later, &[CAUSE]));
+    let (reports, _) = quarantine.reports_to_send(later + REPORT_TTL, 0);
+    assert!(reports.is_empty());
+    assert_eq!(quarantine.report_count(), 0);
+}
+
+// The operator asks one instance; a third one hears of it from the second.
+#[test]
+fn released_part_is_accepted_at_all_instances() {
+    let mut instances: Vec<PartQuarantine> = Vec::new();
+    for _ in 0..3 {
+        let mut quarantine = PartQuarantine::default();
+        crash(&mut quarantine, NOW, 3, &[50, CAUSE]);
+        instances.push(quarantine);
+    }
+    let now = NOW + SECOND * 20;
+    let changes = instances[0].release(now, CAUSE);
+    assert!(
+        matches!(changes[..], [RefusalChange::Ended(_)]),
+        "{changes:?}"
+    );
+    for receiver in 1..3 {
+        let (reports, _) = instances[receiver - 1].reports_to_send(now, 1);
+        instances[receiver].merge(now, reports);
+        assert!(!is_refused(&instances[receiver], now, &[50, CAUSE]));
+    }
+    assert!(instances[0].release(now, CAUSE).is_empty());
+    crash(&mut instances[0], now + SECOND, 3, &[50, CAUSE]);
+    let later = now + SECOND * 4;
+    assert!(!is_refused(&instances[0], later, &[50, CAUSE]));
+    crash(&mut instances[0], later, 2, &[50, CAUSE]);
+    assert!(is_refused(&instances[0], later + SECOND, &[50, CAUSE]));
+}
+
+#[test]
+fn instance_that_starts_later_hears_what_is_refused() {
+    let mut old = PartQuarantine::default();
+    crash(&mut old, NOW, 3, &[COMMON, CAUSE]);
+    let mut new = PartQuarantine::default();
+    let now = NOW + SECOND * 60;
+    for round in 0..8 {
+        let (reports, _) = old.reports_to_send(now, round);
+        new.merge(now, reports);
+    }
+    assert!(is_refused(&new, now, &[COMMON, CAUSE]));
+}
+
+// Reports of requests with parts that no other request has are never cleared.
+#[test]
+fn flood_of_reports_displaces_no_refusal_and_takes_bounded_memory_and_bytes() {
+    let mut quarantine = PartQuarantine::default();
+    crash(&mut quarantine, NOW, 3, &[COMMON, CAUSE]);
+    for number in 0..20_000 {
+        let at = NOW + SECOND * 3 + Duration::from_millis(number);
+        let part = 50_000 + number;
+        quarantine.record_crash(at, report(at, part, &[part]));
+    }
+    let now = NOW + SECOND * 24;
+    assert!(is_refused(&quarantine, now, &[COMMON, CAUSE]));
+    assert!(quarantine.report_count() <= REPORTS_MAX);
+    let (reports, _) = quarantine.reports_to_send(now, 0);
+    assert!(reports.len() <= REPORTS_PER_DIGEST_MAX);
+    let bytes: usize = reports.iter().map(|r| r.to_wire(now).encoded_len()).sum();
+    assert!(bytes <= 2_048, "{bytes}");
+}
+
+/// Rounds of digests until all of `count` instances refuse a part, whose crashes different
+/// instances have seen.
+fn rounds_until_all_refuse(count: u16) -> u32 {
+    let mut instances: Vec<PartQuarantine> = Vec::new();
+    let mut peers_of: Vec<Peers> = Vec::new();
+    let name = |index: u16| InstanceName::from(format!("entry-{index}"));
+    for own in 0..count {
+        let mut peers = Peers::default();
+        for index in (0..count).filter(|index| *index != own) {
+            let address = ([127, 0, 0, 1], 9_000 + index).into();
+            peers.record_digest(NOW, &name(index), address, &"dc-a".into(), NOW);
+        }
+        peers_of.push(peers);
+        instances.push(PartQuarantine::default());
+    }
+    for number in 0..3 {
+        let seen_by = &mut instances[usize::from(count) * number / 3];
+        let parts = [COMMON, CAUSE, number as u64 + 10];
+        seen_by.record_crash(NOW, report(NOW, number as u64, &parts));
+    }
+    for round in 0..100 {
+        let now = NOW + DIGEST_INTERVAL * round;
+        let refused = |q: &PartQuarantine| is_refused(q, now, &[COMMON, CAUSE]);
+        if instances.iter().all(refused) {
+            return round;
+        }
+        let mut sent = Vec::new();
+        for (own, quarantine) in instances.iter_mut().enumerate() {
+            let (reports, _) = quarantine.reports_to_send(now, u64::from(round));
+            let own = name(own as u16);
+            let targets = &peers_of[sent.len()].digest_targets(NOW, &own, u64::from(round));
+            sent.push((reports, targets.clone()));
+        }
+        for (reports, targets) in sent {
+            for (address, _) in targets {
+                let receiver = usize::from(address.port() - 9_000);
+                instances[receiver].merge(now, reports.clone());
+            }
+        }
+    }
+    100
+}
+
+#[yare::parameterized(
+    small = { 6 },
+    grown = { 85 },
+    planned = { 410 },
+)]
+fn all_instances_refuse_the_part_within_the_time_that_users_state(count: u16) {
+    let rounds = rounds_until_all_refuse(count);
+    let time = DIGEST_INTERVAL * rounds;
+    assert!(time <= REFUSED_WITHIN, "{time:?}");
+}
