Try one request after a while so that a wrong refusal ends

Three servers that crash for another reason, with requests on the same part and no answer on it in between, refuse sound requests, and as none of them runs, no answer can clear the part: it would stay refused for 10 minutes. The instance that saw the last crash now sends one request after 30 s; each further crash doubles the time. Other instances send none.

Tests: part_that_was_refused_wrongly_is_accepted_again_by_a_trial and trials_reach_servers_at_most_three_times_in_minutes, replays of the decision; the first cannot pass without begin_trial, which it calls.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -409,12 +409,24 @@
         self.serving.record_answer(&self.shared_parts(), self.whole);
     }
 
-    /// Fails if the request has parts that crash servers.
+    /// Fails if the request has parts that crash servers, and may not be sent to find out whether
+    /// they still do.
     fn check_quarantine(&self, now: Duration) -> Result {
-        let quarantine = self.serving.part_quarantine.borrow();
-        let Some(refusal) = quarantine.refusal(now, &self.suspect_parts()) else {
+        let mut quarantine = self.serving.part_quarantine.borrow_mut();
+        let refusal = quarantine.refusal(now, &self.suspect_parts()).cloned();
+        let Some(refusal) = refusal else {
             return Ok(());
         };
+        let is_first = self.sends == 0;
+        if is_first && quarantine.begin_trial(now, &refusal) {
+            info!(
+                "quarantine parts={} state=trial request={} crashes={}",
+                format_parts(&refusal.parts),
+                self.call.request_id,
+                refusal.crashes,
+            );
+            return Ok(());
+        }
         Err(Error::QuarantinedParts {
             crashes: refusal.crashes,
             parts: format_parts(&refusal.parts),
--- a/src/part_quarantine.rs
+++ b/src/part_quarantine.rs
@@ -11,6 +11,10 @@
 //! Two causes at once share innocent parts, such as a common first part. The part whose last answer
 //! is the longest ago explains its crashes, and these do not count against any other part.
 //!
+//! Sound requests may be refused if servers crash for another reason several times in a row and no
+//! answer comes between. So one request is tried after a while, by the instance that saw the last
+//! crash: an answer ends the refusal, a crash doubles the time until the next trial.
+//!
 //! Instances exchange the reports, so that all of them reach the same decision. The state does no
 //! I/O. It survives no restart of all instances at once, after which the cause has to crash
 //! [`CRASHES_TO_REFUSE`] servers again.
@@ -30,6 +34,10 @@
 /// [`REPORT_TTL`], refuses them again.
 pub const REFUSAL_TIME: Duration = Duration::from_secs(600);
 
+/// Time after the last crash at which one request is tried, if the refusal rests on
+/// [`CRASHES_TO_REFUSE`] crashes. Each further crash doubles it.
+pub const TRIAL_DELAY: Duration = Duration::from_secs(30);
+
 /// Time after which a report is dropped.
 pub const REPORT_TTL: Duration = Duration::from_secs(3_600);
 
@@ -67,6 +75,11 @@
 }
 
 impl Refusal {
+    /// Returns true if a report is about a request that has all of the parts.
+    fn covers(&self, report: &CrashReport) -> bool {
+        self.parts.iter().all(|part| report.parts.contains(part))
+    }
+
     fn matches(&self, now: Duration, parts: &[PartHash]) -> bool {
         let is_current = now.saturating_sub(self.last_crash_at) < REFUSAL_TIME;
         is_current && self.parts.iter().all(|part| parts.contains(part))
@@ -93,7 +106,11 @@
 struct KnownReport {
     /// Time at which this instance received it or one of its parts was cleared.
     changed_at: Duration,
+    /// True if this instance saw the crash.
+    is_own: bool,
     report: CrashReport,
+    /// Time of the last trial after the crash; that of the crash if there was none.
+    tried_at: Duration,
 }
 
 /// Reports of all instances, and the parts that are refused because of them.
@@ -135,7 +152,12 @@
 
     /// Records a crash that this instance saw.
     pub fn record_crash(&mut self, now: Duration, report: CrashReport) -> Vec<RefusalChange> {
-        self.merge(now, vec![report])
+        let id = report.id;
+        let changes = self.merge(now, vec![report]);
+        for known in &mut self.reports {
+            known.is_own |= known.report.id == id;
+        }
+        changes
     }
 
     /// Applies the reports of a peer's digest. Parts that the peer has cleared are cleared here,
@@ -148,6 +170,8 @@
                 is_changed = true;
                 self.reports.push(KnownReport {
                     changed_at: now,
+                    is_own: false,
+                    tried_at: report.at,
                     report,
                 });
                 continue;
@@ -176,6 +200,25 @@
             .find(|refusal| refusal.matches(now, parts))
     }
 
+    /// Returns true if a request that falls under a refusal is to be tried, which counts as its
+    /// trial. Only the instance that saw the last crash tries one, so that it is the only one.
+    pub fn begin_trial(&mut self, now: Duration, refusal: &Refusal) -> bool {
+        let reports = self.reports.iter_mut();
+        let last = reports
+            .filter(|known| refusal.covers(&known.report))
+            .max_by_key(|known| known.report.at);
+        let Some(last) = last else {
+            return false;
+        };
+        let doublings = refusal.crashes.saturating_sub(CRASHES_TO_REFUSE).min(8);
+        let delay = (TRIAL_DELAY * (1 << doublings)).min(REFUSAL_TIME);
+        if !last.is_own || now.saturating_sub(last.tried_at) < delay {
+            return false;
+        }
+        last.tried_at = now;
+        true
+    }
+
     /// Returns what is refused now.
     pub fn refusals(&self, now: Duration) -> impl Iterator<Item = &Refusal> {
         let is_current = move |r: &&Refusal| now.saturating_sub(r.last_crash_at) < REFUSAL_TIME;
@@ -329,8 +372,7 @@
         for refusal in &self.refusals {
             let mut kept = 0;
             self.reports.retain(|known| {
-                let parts = &known.report.parts;
-                let is_of_refusal = refusal.parts.iter().all(|part| parts.contains(part));
+                let is_of_refusal = refusal.covers(&known.report);
                 kept += usize::from(is_of_refusal);
                 !is_of_refusal || kept <= REPORTS_PER_REFUSAL_MAX
             });
@@ -339,13 +381,11 @@
             return;
         }
         let refusals = &self.refusals;
-        let explains = |report: &CrashReport| {
-            let has = |refusal: &Refusal| refusal.parts.iter().all(|p| report.parts.contains(p));
-            refusals.iter().any(has)
-        };
+        let is_covered =
+            |report: &CrashReport| refusals.iter().any(|refusal| refusal.covers(report));
         // Stable: each half stays in the order of time.
         self.reports
-            .sort_by_key(|known| Reverse(explains(&known.report)));
+            .sort_by_key(|known| Reverse(is_covered(&known.report)));
         self.reports.truncate(REPORTS_MAX);
     }
 
--- a/tests/decisions/part_quarantine.rs
+++ b/tests/decisions/part_quarantine.rs
@@ -14,6 +14,7 @@
 use ebonyspread::part_quarantine::REPORTS_MAX;
 use ebonyspread::part_quarantine::REPORTS_PER_DIGEST_MAX;
 use ebonyspread::part_quarantine::RefusalChange;
+use ebonyspread::part_quarantine::TRIAL_DELAY;
 use ebonyspread::peers::Peers;
 use prost::Message;
 use smallvec::SmallVec;
@@ -183,6 +184,43 @@
     assert_eq!(quarantine.report_count(), 0);
 }
 
+// Servers crashed for another reason, three times in a row without an answer on the part.
+#[test]
+fn part_that_was_refused_wrongly_is_accepted_again_by_a_trial() {
+    let mut quarantine = PartQuarantine::default();
+    crash(&mut quarantine, NOW, 3, &[COMMON]);
+    let now = NOW + SECOND * 2 + TRIAL_DELAY;
+    assert!(!try_one(&mut quarantine, now - SECOND));
+    assert!(try_one(&mut quarantine, now));
+    assert!(!try_one(&mut quarantine, now));
+    quarantine.record_answer(now + SECOND, &[COMMON], 7);
+    assert!(!is_refused(&quarantine, now + SECOND, &[COMMON, 8]));
+}
+
+#[test]
+fn trials_reach_servers_at_most_three_times_in_minutes() {
+    let mut quarantine = PartQuarantine::default();
+    let mut other = PartQuarantine::default();
+    crash(&mut quarantine, NOW, 3, &[COMMON]);
+    let mut trials = 0;
+    for second in 3..200 {
+        let now = NOW + SECOND * second;
+        let (reports, _) = quarantine.reports_to_send(now, 0);
+        other.merge(now, reports);
+        assert!(!try_one(&mut other, now));
+        if try_one(&mut quarantine, now) {
+            trials += 1;
+            crash(&mut quarantine, now, 1, &[COMMON]);
+        }
+    }
+    assert!((1..=3).contains(&trials), "{trials}");
+}
+
+fn try_one(quarantine: &mut PartQuarantine, now: Duration) -> bool {
+    let refusal = quarantine.refusal(now, &[COMMON, 8]).unwrap().clone();
+    quarantine.begin_trial(now, &refusal)
+}
+
 // The operator asks one instance; a third one hears of it from the second.
 #[test]
 fn released_part_is_accepted_at_all_instances() {
