Resume a stream whose server ends it inside an event

Callers saw a stream without a length or chunks as whole although its server had crashed before the first event, and one that ended inside an event was broken off without a retry, though its route allows it to be resumed. Cause: the end of the body was taken for the end of the answer unless part of an event was left over, and that case took no retry.

Both are now interruptions like a broken connection: resumed where the route allows it, reported as crashes, and otherwise broken off at the caller. A stream without a length that ends between two events cannot be told from a whole one.

Tests: of seven cases of unframed streams, four failed before: unframed_stream_that_ends_inside_an_event_is_resumed (all three) and ..._that_is_cut_and_cannot_be_resumed_does_not_look_complete before the first event.

--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -512,6 +512,11 @@
         self.connection.is_none()
     }
 
+    /// Returns true if only the end of the connection shows where the body ends.
+    pub fn ends_with_connection(&self) -> bool {
+        matches!(self.decoder, BodyDecoder::UntilClose)
+    }
+
     /// Reads the rest of the body and drops it. Fails if it is larger than `max_bytes`.
     pub async fn skip_rest(&mut self, max_bytes: usize) -> Result<(), ServerCallError> {
         let mut skipped_bytes = 0;
--- a/src/interruption.rs
+++ b/src/interruption.rs
@@ -11,7 +11,7 @@
     Deadline,
     /// The server sent an event that could not be parsed or was too large.
     Malformed,
-    /// The server ended the stream inside an event.
+    /// The server ended the stream inside an event, or one without a length before its first event.
     PartialEvent,
     /// No event arrived in time.
     Stalled,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -106,7 +106,16 @@
             };
             let chunk = match read {
                 Ok(Some(Ok(chunk))) => chunk,
-                Ok(None) => return self.finish_whole().await,
+                Ok(None) => {
+                    let Some(reason) = self.early_end() else {
+                        return self.finish_whole();
+                    };
+                    let cause = Interruption::PartialEvent;
+                    match self.try_resume(cause, reason.to_owned()).await {
+                        Ok(()) => continue,
+                        Err(error) => return Some(self.finish_broken(error).await),
+                    }
+                }
                 Ok(Some(Err(error))) => {
                     match self.try_resume(Interruption::Broken, error.reason).await {
                         Ok(()) => continue,
@@ -195,7 +204,7 @@
 
     /// Resumes on another server if the stream is resumable and the retry budget allows it.
     async fn try_resume(&mut self, cause: Interruption, reason: String) -> Result {
-        if cause == Interruption::Broken {
+        if matches!(cause, Interruption::Broken | Interruption::PartialEvent) {
             self.exchange.record_broken_answer();
         }
         let retry = match self.exchange.route.call_kind.is_repeatable() {
@@ -246,14 +255,20 @@
         }
     }
 
-    async fn finish_whole(mut self) -> Option<(Result<Bytes>, Self)> {
-        if self.events.has_partial() {
-            self.set_interruption(Interruption::PartialEvent, None);
-            let error = self
-                .exchange
-                .lost_error("stream ended inside an event".to_owned());
-            return Some(self.finish_broken(error).await);
+    /// Returns why the end of the server's stream is not the end of the answer; `None` if it is. A
+    /// stream without a length or chunks ends with its connection, also if the server crashes.
+    fn early_end(&self) -> Option<&'static str> {
+        let has_events = self.exchange.answer == AnswerProgress::Events;
+        match self.events.has_partial() {
+            true => Some("stream ended inside an event"),
+            false if !has_events && self.body.ends_with_connection() => {
+                Some("stream without a length ended before its first event")
+            }
+            false => None,
         }
+    }
+
+    fn finish_whole(mut self) -> Option<(Result<Bytes>, Self)> {
         let attempt = self.attempt.as_mut()?;
         attempt.outcome = AttemptOutcome::Completed;
         let server = attempt.placed.server.clone();
