--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -71,6 +71,10 @@
     /// attempt.
     fn build_request(&self, call: &CallHead, attempt: AttemptHead<'_>) -> RequestHead;
 
+    /// Returns the calls per second that the server takes from all instances together, if the
+    /// response names such a limit. It is in force as long as the server's responses name it.
+    fn limit_per_s(&self, head: &ResponseHead) -> Option<f64>;
+
     /// Determines whether a response belongs to `call` or is a late or duplicated one of another
     /// call.
     fn owner_of(&self, call: &CallHead, head: &ResponseHead) -> ResponseOwner;
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -293,6 +293,7 @@
         self.sends += 1;
         self.answer = AnswerProgress::Head;
         self.record_response_time(&attempt, sent_at.elapsed());
+        self.record_limit(&attempt, &response.head);
         self.handle_response(attempt, response).await
     }
 
@@ -375,6 +376,20 @@
         fleet.observe_first_event(&self.service, prompt, &attempt.placed, elapsed);
     }
 
+    /// Records the limit that the head of a response names, or that it names none.
+    fn record_limit(&self, attempt: &Attempt, head: &ResponseHead) {
+        let limit_per_s = self.serving.dialect.limit_per_s(head);
+        let server = &attempt.placed.server;
+        let mut fleet = self.serving.fleet.borrow_mut();
+        if fleet.record_limit(server, limit_per_s) {
+            let limit = limit_per_s.map_or("none".to_owned(), |limit| limit.to_string());
+            info!(
+                "limit server={server} request={} per_s={limit}",
+                self.call.request_id
+            );
+        }
+    }
+
     /// Returns the parts of the request that crash reports name.
     fn suspect_parts(&self) -> SuspectParts {
         let mut parts = self.shared_parts();
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -93,6 +93,8 @@
     answered_at: Duration,
     ejected_until: Duration,
     failure_streak: u32,
+    /// Limit that its last answer to this instance named, in calls per second.
+    limit_per_s: Option<f64>,
     prefill_until: Duration,
     prefixes: PrefixEstimate,
     /// Latest record of the process; `leaving` never returns to false.
@@ -112,6 +114,7 @@
             answered_at: Duration::ZERO,
             ejected_until: Duration::ZERO,
             failure_streak: 0,
+            limit_per_s: None,
             prefill_until: Duration::ZERO,
             prefixes: PrefixEstimate::new(CACHED_PARTS_MAX),
             record,
@@ -525,6 +528,15 @@
         }
     }
 
+    /// Records the limit that an answer of a server names, in calls per second. Returns true if it
+    /// differs from that of the answer before.
+    pub fn record_limit(&mut self, id: &str, limit_per_s: Option<f64>) -> bool {
+        let Some(server) = self.servers.get_mut(id) else {
+            return false;
+        };
+        std::mem::replace(&mut server.limit_per_s, limit_per_s) != limit_per_s
+    }
+
     /// Identifies a crash of a server's present process; `None` if the server is leaving or not
     /// registered.
     pub fn crash_id(&self, id: &str) -> Option<CrashId> {
