Keep the limits that servers name, all instances together

A server in need got far more calls than it had asked for. Cause: nothing read its limit; calls were placed by cost alone, and each instance saw only its own.

The limit of an answer is now part of a server's state. While it is in force, a few instances send to the server, the same for all that know each other by the hash of their names, and each may send an equal share, one call at a time; the others place their calls elsewhere. Answers are reported to the peers for 5 s, so that instances that send none hear of the limit and of its end. It ends with an answer that names none, 15 s after the last that named one, with the server's process, or by an operator (DELETE /limits/SERVER on the status address). A call that only used-up limits keep from a server is refused at once, with the time until the next call may be sent (server_limits).

Ruled out: a share for each of all instances, since with 85 of them the calls that each saves up exceed a limit of 2 calls a second together; sums over reports, which are over a second old there.

--- a/src/error.rs
+++ b/src/error.rs
@@ -244,6 +244,16 @@
         /// Time in milliseconds until a retry can succeed.
         retry_after_ms: u64,
     },
+    /// The servers have named limits that leave this instance no call at present.
+    #[snafu(display(
+        "the servers of {subject} limit their calls; retry after {retry_after_ms} ms"
+    ))]
+    ServerLimits {
+        /// Service that the request was addressed to.
+        subject: Subject,
+        /// Time in milliseconds until a retry can succeed.
+        retry_after_ms: u64,
+    },
     /// The table has changed since the version on which the edit is based.
     #[snafu(display(
         "conflict: the table is at version {current}, the edit is based on version {base}; \
@@ -360,6 +370,7 @@
             Self::ResponseTimeout { .. } => (504, "answer_timeout"),
             Self::ResumeMismatch => (409, "resume_mismatch"),
             Self::RetryBudgetSpent { .. } => (503, "retry_budget_spent"),
+            Self::ServerLimits { .. } => (503, "server_limits"),
             Self::TableMissing => (503, "table_missing"),
             Self::TableStale { .. } => (503, "table_stale"),
             Self::UnknownKey => (401, "invalid_api_key"),
@@ -385,7 +396,8 @@
             Self::AccountLimit { retry_after_ms, .. }
             | Self::NoBackendServer { retry_after_ms, .. }
             | Self::Overloaded { retry_after_ms, .. }
-            | Self::RetryBudgetSpent { retry_after_ms, .. } => {
+            | Self::RetryBudgetSpent { retry_after_ms, .. }
+            | Self::ServerLimits { retry_after_ms, .. } => {
                 Some(Duration::from_millis(*retry_after_ms))
             }
             Self::CallInProgress
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -293,7 +293,7 @@
         self.sends += 1;
         self.answer = AnswerProgress::Head;
         self.record_response_time(&attempt, sent_at.elapsed());
-        self.record_limit(&attempt, &response.head);
+        self.record_limit(&attempt, &response.head, sent_at.elapsed());
         self.handle_response(attempt, response).await
     }
 
@@ -377,16 +377,13 @@
     }
 
     /// Records the limit that the head of a response names, or that it names none.
-    fn record_limit(&self, attempt: &Attempt, head: &ResponseHead) {
-        let limit_per_s = self.serving.dialect.limit_per_s(head);
+    fn record_limit(&self, attempt: &Attempt, head: &ResponseHead, elapsed: Duration) {
+        let per_s = self.serving.dialect.limit_per_s(head);
         let server = &attempt.placed.server;
+        let now = boot_time();
         let mut fleet = self.serving.fleet.borrow_mut();
-        if fleet.record_limit(server, limit_per_s) {
-            let limit = limit_per_s.map_or("none".to_owned(), |limit| limit.to_string());
-            info!(
-                "limit server={server} request={} per_s={limit}",
-                self.call.request_id
-            );
+        if fleet.record_limit(now, server, now.saturating_sub(elapsed), per_s) {
+            log_limit(server, per_s, &self.call.request_id);
         }
     }
 
--- a/src/front.rs
+++ b/src/front.rs
@@ -177,6 +177,9 @@
         path if path == "/quarantine" || path.starts_with("/quarantine/") => {
             serve_quarantine(serving, request.method(), path)
         }
+        path if path == "/limits" || path.starts_with("/limits/") => {
+            serve_limits(serving, request.method(), path)
+        }
         _ if serving.is_ready() => Response::ok().map_into_boxed_body(),
         _ => Response::new(StatusCode::SERVICE_UNAVAILABLE).map_into_boxed_body(),
     }
@@ -206,6 +209,31 @@
     }
 }
 
+/// Lists the limits of servers that are in force (`GET /limits`), or ends one until an answer names
+/// it again (`DELETE /limits/SERVER`).
+fn serve_limits(serving: &ServingState, method: &Method, path: &str) -> Response<BoxBody> {
+    let now = boot_time();
+    let mut fleet = serving.fleet.borrow_mut();
+    match (method, path.strip_prefix("/limits/")) {
+        (&Method::GET, None) => {
+            let limits = fleet.limits_in_force(now);
+            json_response(StatusCode::OK, &serde_json::json!({ "limits": limits }))
+        }
+        (&Method::DELETE, Some(server)) if fleet.release_limit(now, server) => {
+            log_limit(&server.into(), None, "operator");
+            json_response(StatusCode::OK, &serde_json::json!({ "released": true }))
+        }
+        (&Method::DELETE, Some(_)) => status_error(
+            StatusCode::NOT_FOUND,
+            "no limit of this server is in force; GET /limits lists them",
+        ),
+        _ => status_error(
+            StatusCode::BAD_REQUEST,
+            "send GET /limits, or DELETE /limits/SERVER with a server as it lists it",
+        ),
+    }
+}
+
 fn status_error(status: StatusCode, remedy: &str) -> Response<BoxBody> {
     json_response(status, &serde_json::json!({ "error": remedy }))
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -104,10 +104,11 @@
     let mut wall_clock = serving.wall_clock.borrow_mut();
     wall_clock.record_peer_estimate(now, peer, digest.unix_ms);
     record_received(serving, &digest.data_centre, peer);
+    serving.merge_crash_reports(now, digest.crash_reports);
+    serving.merge_limits(now, peer, digest.limits);
     let mut fleet = serving.fleet.borrow_mut();
     fleet.update_peer_loads(now, peer, &digest.loads);
     fleet.update_peer_rates(now, peer, digest.prefill_rates);
-    serving.merge_crash_reports(now, digest.crash_reports);
     let mut limits = serving.limits.borrow_mut();
     limits.update_peer_demand(now, peer, digest.demands);
     let mut usage = serving.usage.borrow_mut();
@@ -120,6 +121,10 @@
         let mut digest = local_digest(&serving, now, round);
         let own = &serving.settings.instance;
         let targets = serving.peers.borrow().digest_targets(now, own, round);
+        let peers = serving.peers.borrow().active_hashes(now);
+        let mut fleet = serving.fleet.borrow_mut();
+        fleet.set_instances(now, name_hash(own), peers);
+        drop(fleet);
         for (address, echoed) in targets {
             digest.echoed = echoed;
             // The next digest follows soon, so a loss to a full socket or an unreachable peer is
@@ -136,6 +141,8 @@
     let crash_reports = serving.crash_reports_to_send(now, round);
     let policy = serving.policy.borrow();
     let mut fleet = serving.fleet.borrow_mut();
+    let limits = fleet.limits_to_send(now, round);
+    let limits = limits.iter().map(|report| report.to_wire(now)).collect();
     let mut loads = HashMap::new();
     for server in fleet.servers() {
         let load = server.own_load(now);
@@ -149,6 +156,7 @@
         demands: serving.limits.borrow_mut().demand(now),
         echoed: None,
         instance: serving.settings.instance.clone(),
+        limits,
         leaving: serving.draining.get(),
         life: serving.life,
         loads,
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -26,6 +26,8 @@
     /// Start time of the sender's process in milliseconds since 1970; distinguishes it from earlier
     /// processes of the same instance.
     pub life: u64,
+    /// What the last answers of servers to the sender said about their limits.
+    pub limits: Vec<wire::LimitReport>,
     /// Load that the sender's own calls put on each server; servers without any are left out.
     pub loads: HashMap<ServerName, ServerLoad>,
     /// Time since the sender's policy was last proven to be the newest; `None` if it never was.
@@ -92,6 +94,7 @@
             instance: digest.instance.to_string(),
             leaving: digest.leaving,
             life: digest.life,
+            limits: digest.limits.clone(),
             loads: loads.collect(),
             policy_age_ms: digest.policy_age.map(|age| age.as_millis() as u64),
             policy_version: digest.policy_version,
@@ -130,6 +133,7 @@
             instance: wire.instance.into(),
             leaving: wire.leaving,
             life: wire.life,
+            limits: wire.limits,
             loads,
             policy_age: wire.policy_age_ms.map(millis),
             policy_version: wire.policy_version,
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -154,6 +154,12 @@
         ranked.into_iter().map(|(_, target)| target).collect()
     }
 
+    /// Returns the hashes of the names of the peers that are not silent.
+    pub fn active_hashes(&self, now: Duration) -> Vec<u64> {
+        let active = self.by_name.iter().filter(|(_, peer)| !peer.is_silent(now));
+        active.map(|(name, _)| name_hash(name)).collect()
+    }
+
     /// Returns the number of known peers, including silent ones and excluding this instance.
     pub fn known_count(&self) -> usize {
         self.by_name.len()
@@ -225,6 +231,7 @@
     }
 }
 
-fn name_hash(name: &InstanceName) -> u64 {
+/// Hashes the name of an instance, for orders on which all instances agree without messages.
+pub(crate) fn name_hash(name: &InstanceName) -> u64 {
     xxh3_64(name.as_bytes())
 }
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -257,6 +257,21 @@
         !changes.is_empty()
     }
 
+    /// Applies a peer's reports on the limits of servers.
+    pub fn merge_limits(
+        &self,
+        now: Duration,
+        peer: &InstanceName,
+        reports: Vec<wire::LimitReport>,
+    ) {
+        let reports = reports.into_iter();
+        let reports = reports.map(|wire| LimitReport::from_wire(now, wire));
+        let mut fleet = self.fleet.borrow_mut();
+        for change in fleet.merge_limits(now, reports.collect()) {
+            log_limit(&change.server, change.per_s, peer);
+        }
+    }
+
     /// Records that reads of a topic fail. Peers get no records of it until a read succeeds again.
     pub fn mark_feed_lost(&self, topic: &'static str) {
         let mut feeds = self.feeds.borrow_mut();
@@ -330,3 +345,9 @@
         );
     }
 }
+
+/// Logs that the limit of a server has changed, by the answer to a request or by a peer.
+pub(crate) fn log_limit(server: &ServerName, per_s: Option<f64>, by: &str) {
+    let per_s = per_s.map_or("none".to_owned(), |per_s| per_s.to_string());
+    info!("limit server={server} by={by} per_s={per_s}");
+}
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -614,6 +614,20 @@
     pub data_centre: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "14")]
     pub crash_reports: ::prost::alloc::vec::Vec<CrashReport>,
+    #[prost(message, repeated, tag = "15")]
+    pub limits: ::prost::alloc::vec::Vec<LimitReport>,
+}
+/// What the last answer of a backend server to the sender said about the server's limit.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LimitReport {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Calls per second, of all instances together; absent if the answer named no limit.
+    #[prost(double, optional, tag = "2")]
+    pub per_s: ::core::option::Option<f64>,
+    /// Time since the answer.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 /// A backend server crashed as it began to answer a request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
