--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -122,9 +122,10 @@
         let own = &serving.settings.instance;
         let targets = serving.peers.borrow().digest_targets(now, own, round);
         let peers = serving.peers.borrow().active_hashes(now);
-        let mut fleet = serving.fleet.borrow_mut();
-        fleet.set_instances(now, name_hash(own), peers);
-        drop(fleet);
+        serving
+            .fleet
+            .borrow_mut()
+            .set_instances(now, name_hash(own), peers);
         for (address, echoed) in targets {
             digest.echoed = echoed;
             // The next digest follows soon, so a loss to a full socket or an unreachable peer is
