Detect a plain response that its server cuts, on the own interface too

Callers of the own interface got a chunked response that its server had cut as a whole one: a lookup ended with a last chunk, an order was reported as whole. Cause: the HTTP client takes the end of the connection for the end of the body. Plain calls now go over the connection pool that the platform's edge uses, whose codec knows where a body ends; the check of a stated length becomes needless and goes. A response to HEAD without a length no longer waits for the end of the connection. The head and the parts that have arrived are written before the caller's connection is closed; without that the caller saw a closed connection and no head.

--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -9,6 +9,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use actix_http::ConnectionType;
 use actix_http::RequestHead;
 use actix_http::RequestHeadType;
 use actix_http::ResponseHead;
@@ -83,6 +84,12 @@
     pub reason: String,
 }
 
+impl From<ServerCallError> for std::io::Error {
+    fn from(error: ServerCallError) -> Self {
+        Self::other(error.reason)
+    }
+}
+
 impl ServerCallError {
     fn maybe_run(reason: impl ToString) -> Self {
         Self {
@@ -145,7 +152,8 @@
     /// Whole request body, sent with its length; a `GET` with an empty body is sent without a
     /// length.
     pub body: &'a Bytes,
-    /// Method, path and headers. The length of the body is added when the call is encoded.
+    /// Method, path and headers; with the connection type `Close` the call gets a connection of its
+    /// own. The length of the body is added when the call is encoded.
     pub head: RequestHead,
     /// Tells from the head of a response whether it answers this call; responses to other calls are
     /// skipped.
@@ -187,11 +195,17 @@
         self: &Rc<Self>,
         call: ServerCall<'_>,
     ) -> Result<ServerResponse, ServerCallError> {
-        let mut connection = match self.take_idle(&call.target) {
+        let is_single = call.head.connection_type() == ConnectionType::Close;
+        let idle = match is_single {
+            true => None,
+            false => self.take_idle(&call.target),
+        };
+        let mut connection = match idle {
             Some(connection) => connection,
             None => self.connect(call.target.address).await?,
         };
         let has_body = !call.body.is_empty() || call.head.method != actix_http::Method::GET;
+        let is_head = call.head.method == actix_http::Method::HEAD;
         let size = match has_body {
             true => BodySize::Sized(call.body.len() as u64),
             false => BodySize::None,
@@ -206,7 +220,10 @@
         connection.informational_heads = 0;
         connection.received_bytes = 0;
         let written = connection.write_request(&request).await?;
-        let (head, framing) = connection.read_head(&self.config, call.owner_of).await?;
+        let (head, mut framing) = connection.read_head(&self.config, call.owner_of).await?;
+        if is_head {
+            framing = BodyFraming::None;
+        }
         // If the server responded before the whole body was written, it would parse the rest as the
         // next request, so the connection cannot be reused.
         let reusable = written && connection.codec.keep_alive();
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -7,9 +7,12 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
+use actix_http::ConnectionType;
+use actix_http::RequestHead;
+use actix_http::header::HeaderMap;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
 use actix_web::http::Method;
-use actix_web::http::header::CONTENT_LENGTH;
-use actix_web::http::header::HeaderMap;
 use awc::Client;
 use awc::Connector;
 use awc::error::ConnectError;
@@ -73,6 +76,19 @@
     pub reason: String,
 }
 
+impl From<ServerCallError> for AttemptError {
+    fn from(error: ServerCallError) -> Self {
+        let failure = match error.progress {
+            SendProgress::NotSent => Failure::Connect,
+            SendProgress::MaybeRun => Failure::Broken,
+        };
+        Self {
+            failure,
+            reason: error.reason,
+        }
+    }
+}
+
 impl AttemptError {
     /// Returns true if the server may have run the call, for an attempt that failed before its
     /// response began.
@@ -86,13 +102,13 @@
 
 /// HTTP clients of one thread.
 pub struct Dispatcher {
+    /// Connections for plain calls. The HTTP client takes the end of a connection for the end of a
+    /// body; these do not.
+    connections: Rc<ConnectionPool>,
     /// Memory for unfinished events of engines' streams; a stream for which none is left fails.
     pub event_budget: Rc<ByteBudget>,
-    /// Reuses connections, for calls that may be repeated.
+    /// Client for model calls and small documents; reuses connections.
     pooled: Client,
-    /// Opens a connection for each call. On a reused connection that the server has just closed,
-    /// the outcome of a call that may not be repeated would be unknown although it never ran.
-    unpooled: Client,
 }
 
 /// Parameters of [`Dispatcher::send_plain`].
@@ -116,9 +132,9 @@
     /// Creates the HTTP clients of the current thread; they cannot be used from another one.
     pub fn new() -> Self {
         Self {
+            connections: Rc::default(),
             event_budget: ByteBudget::new(EVENT_BUDGET_BYTES),
-            pooled: build_client(KEEP_ALIVE),
-            unpooled: build_client(Duration::ZERO),
+            pooled: build_client(),
         }
     }
 
@@ -161,50 +177,49 @@
 
     /// Sends a plain call and returns once the head of the response has arrived. With
     /// `new_connection` it opens a connection for this call alone, as a call that may not be
-    /// repeated needs.
+    /// repeated needs: on a reused connection that the server has just closed, its outcome would be
+    /// unknown although it never ran.
     pub async fn send_plain(
         &self,
         server: &BackendServer,
         call: PlainCall<'_>,
         new_connection: bool,
     ) -> Result<PlainResponse, AttemptError> {
-        let client = if new_connection {
-            &self.unpooled
-        } else {
-            &self.pooled
-        };
-        let url = format!("http://{}{}", server.address, call.path_and_query);
-        let is_head = call.method == Method::HEAD;
-        let mut request = client.request(call.method, url).timeout(call.timeout);
-        for (name, value) in call.headers {
-            request = request.append_header((name.as_str(), value.as_slice()));
-        }
-        if let Some(offset) = call.fencing {
-            request = request.insert_header((FENCING_HEADER, offset.to_string()));
-        }
-        if new_connection {
-            request = request.force_close();
-        }
-        let response = match request.send_body(call.body).await {
-            Ok(response) => response,
-            Err(error) => return Err(attempt_error(&error)),
+        let address = server.address.parse().map_err(|_| AttemptError {
+            failure: Failure::Connect,
+            reason: format!("address {} is not an IP address and port", server.address),
+        })?;
+        let call_timeout = call.timeout;
+        let sending = self.connections.send(ServerCall {
+            body: &call.body,
+            head: plain_head(server, &call, new_connection)?,
+            owner_of: &|_| ResponseOwner::ThisCall,
+            target: ConnectionTarget {
+                address,
+                server: server.name.clone(),
+            },
+        });
+        let response = match tokio::time::timeout(call_timeout, sending).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => return Err(AttemptError::from(error)),
+            Err(_) => {
+                return Err(AttemptError {
+                    failure: Failure::Stalled,
+                    reason: format!("no answer within {} ms", call_timeout.as_millis()),
+                });
+            }
         };
-        if response.headers().contains_key(LEAVING_HEADER) {
+        let headers = response.head.headers.clone();
+        if headers.contains_key(LEAVING_HEADER) {
             return Err(AttemptError {
                 failure: Failure::Leaving,
                 reason: "server is leaving and refused the call".to_owned(),
             });
         }
-        let headers = response.headers().clone();
-        let status = response.status().as_u16();
-        let has_body = !is_head && status != 204 && status != 304;
         Ok(PlainResponse {
-            body: match content_length_of(&headers) {
-                Some(bytes) if has_body => check_length(Box::pin(response), bytes),
-                Some(_) | None => Box::pin(response),
-            },
+            body: stream_body(response.body),
             headers,
-            status,
+            status: response.head.status.as_u16(),
         })
     }
 
@@ -262,10 +277,10 @@
     Failed(AttemptError),
 }
 
-fn build_client(keep_alive: Duration) -> Client {
+fn build_client() -> Client {
     let connector = Connector::new()
         .limit(CONNECTIONS_MAX)
-        .conn_keep_alive(keep_alive)
+        .conn_keep_alive(KEEP_ALIVE)
         .timeout(CONNECT_TIMEOUT);
     Client::builder()
         .connector(connector)
@@ -316,24 +331,47 @@
     }
 }
 
-fn content_length_of(headers: &HeaderMap) -> Option<u64> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+/// Builds the head of a plain call; the length of its body is added when it is sent.
+fn plain_head(
+    server: &BackendServer,
+    call: &PlainCall<'_>,
+    new_connection: bool,
+) -> Result<RequestHead, AttemptError> {
+    let not_sent = |reason: String| AttemptError {
+        failure: Failure::Connect,
+        reason,
+    };
+    let mut head = RequestHead::default();
+    head.method = call.method.clone();
+    head.uri = call
+        .path_and_query
+        .parse()
+        .map_err(|error| not_sent(format!("path of the call: {error}")))?;
+    let mut insert = |name: &str, value: &[u8]| -> Result<(), AttemptError> {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let name = name.map_err(|error| not_sent(format!("header of the call: {error}")))?;
+        let value = HeaderValue::from_bytes(value);
+        let value = value.map_err(|error| not_sent(format!("header of the call: {error}")))?;
+        head.headers.append(name, value);
+        Ok(())
+    };
+    insert("host", server.address.as_bytes())?;
+    for (name, value) in call.headers {
+        insert(name, value)?;
+    }
+    if let Some(offset) = call.fencing {
+        insert(FENCING_HEADER, offset.to_string().as_bytes())?;
+    }
+    if new_connection {
+        head.set_connection_type(ConnectionType::Close);
+    }
+    Ok(head)
 }
 
-/// Returns a body that fails if it ends before `bytes` have arrived: the client takes the end of a
-/// connection for the end of a body.
-fn check_length(body: ResponseStream, bytes: u64) -> ResponseStream {
-    let state = Some((body, bytes));
-    Box::pin(futures_util::stream::unfold(state, |state| async move {
-        let (mut body, missing_bytes) = state?;
-        match body.next().await {
-            Some(Ok(part)) => {
-                let missing_bytes = missing_bytes.saturating_sub(part.len() as u64);
-                Some((Ok(part), Some((body, missing_bytes))))
-            }
-            Some(Err(error)) => Some((Err(error), None)),
-            None if missing_bytes > 0 => Some((Err(PayloadError::Incomplete(None)), None)),
-            None => None,
-        }
+fn stream_body(body: ServerResponseBody) -> ResponseStream {
+    Box::pin(futures_util::stream::unfold(body, |mut body| async move {
+        let part = body.next().await?;
+        let part = part.map_err(|error| PayloadError::Incomplete(Some(error.into())));
+        Some((part, body))
     }))
 }
--- a/src/forwarded_body.rs
+++ b/src/forwarded_body.rs
@@ -62,6 +62,7 @@
             ),
         };
         self.ended = true;
+        tokio::time::sleep(FLUSH_TIME).await;
         warn!(
             "attempt request={} server={} end=lost reason=\"{}\"",
             self.request_id,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -255,6 +255,7 @@
 use crate::publish::write_snapshot;
 use crate::quarantine::Quarantine;
 use crate::quarantine::QuarantineEntry;
+use crate::relay::FLUSH_TIME;
 use crate::relay::Relay;
 use crate::reply::refuse;
 use crate::reply::respond;
--- a/src/pass_through.rs
+++ b/src/pass_through.rs
@@ -84,6 +84,7 @@
                 self.forwarded_bytes
             ),
         };
+        tokio::time::sleep(FLUSH_TIME).await;
         Some(self.finish_broken(reason))
     }
 
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -12,9 +12,9 @@
 /// after which a stalled resumable stream is moved to another server.
 const STALL_TIMEOUT_GAP_TARGETS: f64 = 3.0;
 
-/// Delay before a stream that cannot be resumed closes the caller's connection, so that pending
-/// events are written first.
-const FLUSH_TIME: Duration = Duration::from_millis(5);
+/// Delay before an incomplete body closes the caller's connection, so that the head and the parts
+/// that have arrived are written first.
+pub(crate) const FLUSH_TIME: Duration = Duration::from_millis(5);
 
 /// Forwards one event stream, in whole events so that it can be resumed between two of them.
 pub(crate) struct Relay {
