Keep a reader's copy of the servers recent without heartbeats

In a large data centre all instances read the store where two should. Cause: a reader waits up to a sixth of the edit time for new records and pauses 800 ms between reads of the servers' topic, so that without heartbeats its copy is up to 1.5 s old at an edit time of 2 s, more than the half that peers take for recent; they then read the store themselves for 2 s. The wait now follows from the pause and that bound (50 ms at 2 s). With heartbeats reads end at once as before.

Ruled out: a shorter pause, which costs more reads where servers send heartbeats.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -300,6 +300,7 @@
 use crate::sessions::TakeSessions;
 use crate::settings::Settings;
 use crate::shared_log::SharedLog;
+use crate::shared_log::reader_wait;
 use crate::sse::DONE_EVENT;
 use crate::sse::SseParser;
 use crate::sse::parse_event_id;
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -116,7 +116,7 @@
         log,
         pause: SERVERS_READ_INTERVAL,
         topic: parts.server_topic,
-        wait: SERVERS_READ_WAIT,
+        wait: reader_wait(serving.settings.edit_time, SERVERS_READ_INTERVAL).min(SERVERS_READ_WAIT),
     };
     follow_policies(&serving, policies, parts.decode_policy, &shutdown);
     follow_servers(&serving, servers, parts.decode_server, &shutdown);
--- a/src/shared_log.rs
+++ b/src/shared_log.rs
@@ -28,6 +28,14 @@
 /// is up to two reads old.
 const READER_WAIT_FRACTION: f64 = 1.0 / 6.0;
 
+/// Part of the age at which a peer's answer is too old that a reader's copy may reach between two
+/// reads; the rest covers the answer's way to the peer.
+const COPY_AGE_FRACTION: f64 = 0.9;
+
+/// Shortest time that a direct read waits for new records, so that it costs more than it waits only
+/// where edits have to be in force very soon.
+const READER_WAIT_MIN: Duration = Duration::from_millis(20);
+
 /// Maximum time that a read through a peer waits for new records, as a fraction of the time within
 /// which an edit has to be in force.
 const PEER_WAIT_FRACTION: f64 = 1.0 / 8.0;
@@ -60,6 +68,14 @@
     serving: Rc<ServingState>,
 }
 
+/// Returns the maximum time that a direct read may wait for new records if `pause` follows each
+/// read. A copy is at its oldest when the next read ends: two waits and a pause after the last one
+/// began. Peers must still take it for recent then.
+pub fn reader_wait(edit_time: Duration, pause: Duration) -> Duration {
+    let age_max = edit_time.mul_f64(PEER_AGE_FRACTION * COPY_AGE_FRACTION);
+    (age_max.saturating_sub(pause) / 2).max(READER_WAIT_MIN)
+}
+
 impl SharedLog {
     /// Creates the log access of an instance: `log` serves appends and direct reads, `links` carry
     /// reads through peers, and `serving` tells which peers are live.
