Refuse requests with a message that crashes every engine, own edge too

The own edge recognized only repeated contents: of eight requests that share a document which crashes engines, and are otherwise different, each killed one or two until none of six was left. The same cause as on the platform's edge: suspicion goes by the whole content.

The router now has the state machine of the platform's edge. The parts are the hashes of all messages but the last; a connection that breaks before the first token is a crash, reported to the other instances with the note on the suspect content; a first token clears them at its own instance. Operators list refused parts (GET /admin/quarantine/parts) and release them with the command they know.

--- a/bench/src/placement.rs
+++ b/bench/src/placement.rs
@@ -249,6 +249,7 @@
         account: "account-0".into(),
         content_hash: 1,
         conversation: context as u64 + 1,
+        parts: Default::default(),
         prefixes: prefix_hashes(prompt),
         prompt_blocks: prompt.len().div_ceil(BLOCK_BYTES),
         request_id: "request".into(),
--- a/bench/src/routing.rs
+++ b/bench/src/routing.rs
@@ -59,6 +59,7 @@
         account: "account-0".into(),
         content_hash: u64::from(round) + 1,
         conversation: u64::from(round % 64) + 1,
+        parts: Default::default(),
         prefixes: prefix_hashes(&prompt),
         prompt_blocks: PROMPT_BYTES.div_ceil(256),
         request_id: "request".into(),
--- a/soak/src/routing.rs
+++ b/soak/src/routing.rs
@@ -178,6 +178,7 @@
                 false => self.schedule.rng.next_u64() | 1 << 63,
             },
             conversation: 0,
+            parts: Default::default(),
             prefixes: prefix_hashes(&prompt),
             prompt_blocks: 8,
             request_id: "request".into(),
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -49,6 +49,7 @@
         .route("/admin/table", web::get().to(table))
         .route("/admin/table/history", web::get().to(history))
         .route("/admin/quarantine", web::get().to(quarantine))
+        .route("/admin/quarantine/parts", web::get().to(refused_parts))
         .route(
             "/admin/quarantine/{content_hash}",
             web::delete().to(release),
@@ -217,6 +218,14 @@
     respond(&request, &shared, list).await
 }
 
+async fn refused_parts(request: HttpRequest, shared: Shared) -> HttpResponse {
+    let list = async {
+        let listed = shared.context.router.send(ListRefusals).await;
+        listed.map_err(actor_stopped)
+    };
+    respond(&request, &shared, list).await
+}
+
 async fn release(request: HttpRequest, shared: Shared) -> HttpResponse {
     let text = request.match_info().query("content_hash").to_owned();
     let released = async {
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -109,6 +109,7 @@
         account,
         content_hash: chat.content_hash,
         conversation: chat.conversation_hash,
+        parts: chat.parts.clone(),
         prefixes: chat.prefixes.clone(),
         prompt_blocks: chat.prompt_bytes.div_ceil(BLOCK_BYTES),
         request_id,
--- a/src/classify.rs
+++ b/src/classify.rs
@@ -41,6 +41,9 @@
     pub conversation_hash: u64,
     /// Maximum number of tokens to generate: `max_completion_tokens`, else `max_tokens`, else 256.
     pub output_max_tokens: u32,
+    /// Hashes of all messages but the last, at most the last [`PARTS_MAX`] of them: the parts that
+    /// other requests may have too.
+    pub parts: SuspectParts,
     /// Hashes of the prompt's prefixes, shortest first, used to find servers that have cached them.
     pub prefixes: PrefixHashes,
     /// Length in bytes of the hashed text: role and content of every message, each followed by a
@@ -83,6 +86,7 @@
             content_hash: xxh3_64(&prompt.text),
             conversation_hash: xxh3_64(&prompt.text[..prompt.conversation_bytes]),
             output_max_tokens,
+            parts: prompt.shared_parts(),
             prefixes: prefix_hashes(&prompt.text),
             prompt_bytes: prompt.text.len(),
             stream,
@@ -96,6 +100,8 @@
 /// All messages of a request concatenated into one text, which is hashed.
 struct Prompt {
     conversation_bytes: usize,
+    /// Hashes of the messages.
+    parts: Vec<PartHash>,
     text: Vec<u8>,
 }
 
@@ -115,10 +121,13 @@
         }
         let mut prompt = Self {
             conversation_bytes: 0,
+            parts: Vec::with_capacity(messages.len()),
             text: Vec::new(),
         };
         for (index, message) in messages.iter().enumerate() {
+            let start = prompt.text.len();
             prompt.push_message(index, message)?;
+            prompt.parts.push(xxh3_64(&prompt.text[start..]));
             if index < CONVERSATION_MESSAGES {
                 prompt.conversation_bytes = prompt.text.len();
             }
@@ -126,6 +135,11 @@
         Ok(prompt)
     }
 
+    fn shared_parts(&self) -> SuspectParts {
+        let count = self.parts.len().saturating_sub(1);
+        SuspectParts::from_slice(&self.parts[count.saturating_sub(PARTS_MAX)..count])
+    }
+
     fn push_message(&mut self, index: usize, message: &Json) -> Result {
         let Some(Json::String(role)) = message.get("role") else {
             return Err(bad_request(format!(
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -94,7 +94,7 @@
     /// response began.
     pub fn may_have_run(&self) -> bool {
         match self.failure {
-            Failure::Broken | Failure::Stalled | Failure::Status => true,
+            Failure::Broken | Failure::BrokenAtStart | Failure::Stalled | Failure::Status => true,
             Failure::Connect | Failure::Leaving => false,
         }
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -142,7 +142,7 @@
     /// Counts a failed attempt after which another one is tried, by the cause of the failure.
     pub fn retry(&self, failure: Failure) {
         let cause = match failure {
-            Failure::Broken => "broken",
+            Failure::Broken | Failure::BrokenAtStart => "broken",
             Failure::Connect => "connect",
             Failure::Leaving => "leaving",
             Failure::Stalled => "stalled",
--- a/src/peer_actor.rs
+++ b/src/peer_actor.rs
@@ -60,6 +60,8 @@
         account: AccountName,
         /// Hash by which all instances identify the content.
         content_hash: u64,
+        /// Parts of the request, if the server failed as it began to answer it; otherwise empty.
+        parts: SuspectParts,
         /// Server that failed while it ran the content.
         server: ServerName,
     },
@@ -241,6 +243,7 @@
             Body::SuspectNote(note) => self.router.do_send(SuspectContent {
                 account: note.account.into(),
                 content_hash: note.content_hash,
+                parts: note.parts.into_iter().take(PARTS_MAX).collect(),
                 server: note.server.into(),
             }),
             _ => {}
@@ -566,9 +569,11 @@
             Announce::Suspect {
                 account,
                 content_hash,
+                parts,
                 server,
             } => Body::SuspectNote(wire::SuspectNote {
                 content_hash,
+                parts: parts.to_vec(),
                 account: account.to_string(),
                 server: server.to_string(),
             }),
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -59,6 +59,7 @@
             account: self.account.clone(),
             content_hash: 0,
             conversation: 0,
+            parts: SuspectParts::new(),
             prefixes: PrefixHashes::new(),
             prompt_blocks: 0,
             request_id: self.request_id.clone(),
@@ -305,7 +306,7 @@
                 self.failed = Some(failed);
                 AtMostOnceEvent::NotSent
             }
-            Failure::Broken | Failure::Stalled | Failure::Status => {
+            Failure::Broken | Failure::BrokenAtStart | Failure::Stalled | Failure::Status => {
                 AtMostOnceEvent::AnswerLost(lost_error(&self.placement, failed))
             }
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,6 +21,9 @@
 /// Longest time for which a failing server is ejected.
 const EJECTION_MAX: Duration = Duration::from_secs(8);
 
+/// Reports of a server's crash within this time are about the same crash: it takes longer to start.
+const CRASH_INTERVAL_MIN: Duration = Duration::from_secs(1);
+
 /// Maximum age of a server's load report. An older one is ignored, and only this instance's own
 /// requests are counted as the server's load.
 const REPORT_TTL: Duration = Duration::from_secs(5);
@@ -52,6 +55,9 @@
     /// Hash of the leading messages that identify the conversation, whose requests keep their
     /// variant; 0 for plain calls.
     pub conversation: u64,
+    /// Hashes of the messages that other requests may have too, by which a part that crashes servers
+    /// is recognized; empty for plain calls.
+    pub parts: SuspectParts,
     /// Hashes of the prompt's prefixes, shortest first; empty for plain calls.
     pub prefixes: PrefixHashes,
     /// Length of the prompt in blocks of [`BLOCK_BYTES`] bytes, rounded up; 0 for plain calls.
@@ -86,6 +92,8 @@
 pub enum Failure {
     /// The connection broke while the request ran: the server may have crashed.
     Broken,
+    /// The same, before the first token of the answer.
+    BrokenAtStart,
     /// The server could not be reached; nothing was sent.
     Connect,
     /// The server is leaving, and it stopped running the request or refused to start it.
@@ -100,7 +108,7 @@
     /// Returns true if a retry after this failure is taken from the retry budget.
     fn costs_budget(self) -> bool {
         match self {
-            Self::Broken | Self::Stalled | Self::Status => true,
+            Self::Broken | Self::BrokenAtStart | Self::Stalled | Self::Status => true,
             Self::Connect | Self::Leaving => false,
         }
     }
@@ -132,6 +140,8 @@
     /// Estimated end of the prefill (the processing before the first token is generated) of the
     /// prompts that this instance sent it.
     backlog_until: Duration,
+    /// Time of the last crash that was reported.
+    crashed_at: Duration,
     ejected_until: Duration,
     failure_streak: u32,
     leaving: SmallVec<[LeavingSource; 2]>,
@@ -147,6 +157,7 @@
     fn new(row: Arc<BackendServer>) -> Self {
         Self {
             backlog_until: Duration::ZERO,
+            crashed_at: Duration::ZERO,
             ejected_until: Duration::ZERO,
             failure_streak: 0,
             leaving: SmallVec::new(),
@@ -190,6 +201,8 @@
     /// Fraction of every account's limits that this instance may spend, in 0..=1.
     limit_fraction: f64,
     limits: AccountLimits,
+    /// Parts that crash servers; requests with them are refused.
+    pub part_quarantine: PartQuarantine,
     /// Suspects, with the servers that broke while they ran them; requests with a quarantined
     /// content are refused.
     pub quarantine: Quarantine,
@@ -211,6 +224,7 @@
             data_centre,
             limit_fraction: 1.0,
             limits: AccountLimits::default(),
+            part_quarantine: PartQuarantine::default(),
             quarantine: Quarantine::default(),
             rng: StdRng::seed_from_u64(seed),
             servers: Vec::new(),
@@ -271,11 +285,7 @@
         if self.version == 0 {
             return Err(Error::TableMissing);
         }
-        if self.quarantine.is_quarantined(request.content_hash) {
-            return Err(Error::Quarantined {
-                content_hash: request.content_hash,
-            });
-        }
+        self.check_quarantine(now, request, true)?;
         let table = self.table.clone();
         let account = find_account(&table, &request.account)?;
         self.limits.admit(now, account, self.limit_fraction)?;
@@ -334,11 +344,7 @@
     ) -> Result<Placement> {
         let failure = self.classify_failure(failure, &failed.server.name);
         self.end_attempt(now, request, failed, Some(failure));
-        if self.quarantine.is_quarantined(request.content_hash) {
-            return Err(Error::Quarantined {
-                content_hash: request.content_hash,
-            });
-        }
+        self.check_quarantine(now, request, false)?;
         if failure.costs_budget()
             && let Err(denied) = self.budget.withdraw(&request.account, &failed.server.name)
         {
@@ -362,11 +368,7 @@
         stalled: &Placement,
         tried: &[ServerName],
     ) -> Result<Placement> {
-        if self.quarantine.is_quarantined(request.content_hash) {
-            return Err(Error::Quarantined {
-                content_hash: request.content_hash,
-            });
-        }
+        self.check_quarantine(now, request, false)?;
         let server = &stalled.server.name;
         let failure = self.classify_failure(Failure::Stalled, server);
         if failure.costs_budget()
@@ -397,6 +399,46 @@
         }
     }
 
+    /// Fails if the request's content or parts crash servers. One that is `new` may be tried to find
+    /// out whether its parts still do.
+    fn check_quarantine(&mut self, now: Duration, request: &RouteRequest, new: bool) -> Result {
+        if self.quarantine.is_quarantined(request.content_hash) {
+            return Err(Error::Quarantined {
+                content_hash: request.content_hash,
+            });
+        }
+        let refusal = self.part_quarantine.refusal(now, &request.parts).cloned();
+        match refusal {
+            Some(refusal) if !new || !self.part_quarantine.begin_trial(now, &refusal) => {
+                Err(Error::QuarantinedParts {
+                    crashes: refusal.crashes,
+                    parts: format_parts(&refusal.parts),
+                })
+            }
+            Some(_) | None => Ok(()),
+        }
+    }
+
+    /// Records that a server, as seen by this or another instance, crashed as it began to answer a
+    /// request with these parts.
+    pub fn record_crash(
+        &mut self,
+        now: Duration,
+        server: &ServerName,
+        parts: SuspectParts,
+    ) -> Vec<RefusalChange> {
+        let Some(state) = self.state_mut(server) else {
+            return Vec::new();
+        };
+        // Several requests, of several instances, break at one crash.
+        if now.saturating_sub(state.crashed_at) >= CRASH_INTERVAL_MIN {
+            state.crashed_at = now;
+        }
+        let crash = CrashReport::crash_id(server, state.crashed_at.as_millis() as u64);
+        let report = CrashReport::new(now, crash, parts);
+        self.part_quarantine.record_crash(now, report)
+    }
+
     /// Ends an attempt; `failure` is `None` if its answer was complete or its request is abandoned.
     pub fn end_attempt(
         &mut self,
@@ -405,11 +447,17 @@
         placement: &Placement,
         failure: Option<Failure>,
     ) {
-        if failure == Some(Failure::Broken) && request.content_hash != 0 {
+        let is_broken = matches!(failure, Some(Failure::Broken | Failure::BrokenAtStart));
+        if is_broken && request.content_hash != 0 {
             let server = &placement.server.name;
             self.quarantine
                 .record_crash(now, request.content_hash, &request.account, server);
         }
+        if failure == Some(Failure::BrokenAtStart) && !request.parts.is_empty() {
+            let server = &placement.server.name;
+            let changes = self.record_crash(now, server, request.parts.clone());
+            log_refusals(&changes, "crash");
+        }
         let Some(state) = self.state_mut(&placement.server.name) else {
             return;
         };
@@ -418,7 +466,9 @@
             state.suspects_here = state.suspects_here.saturating_sub(1);
         }
         match failure {
-            Some(Failure::Broken | Failure::Connect | Failure::Stalled) => {
+            Some(
+                Failure::Broken | Failure::BrokenAtStart | Failure::Connect | Failure::Stalled,
+            ) => {
                 state.failure_streak += 1;
                 let doublings = (state.failure_streak - 1).min(4);
                 let duration = (EJECTION_INITIAL * (1 << doublings)).min(EJECTION_MAX);
--- a/src/router_actor.rs
+++ b/src/router_actor.rs
@@ -134,13 +134,16 @@
     pub account: AccountName,
     /// Hash of the request's messages, which is equal on all instances.
     pub content_hash: u64,
+    /// Parts of the request that other requests may have, if the server crashed as it began to
+    /// answer it; otherwise empty.
+    pub parts: SuspectParts,
     /// Server whose connection broke while it ran the content; after crashes of two servers the
     /// content is quarantined, so that its requests are refused.
     pub server: ServerName,
 }
 
-/// Releases a quarantined content, so that it is accepted again. Returns true if it was quarantined
-/// or suspect.
+/// Releases a quarantined content, or parts that are refused, so that they are accepted again.
+/// Returns true if the content was quarantined or suspect, or the part refused.
 #[derive(Message)]
 #[rtype(result = "bool")]
 pub struct ReleaseContent {
@@ -148,6 +151,21 @@
     pub content_hash: u64,
 }
 
+/// Records that a server sent the first token of an answer to a request with these parts.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct RecordAnswer {
+    /// Hash of the request's messages.
+    pub content_hash: u64,
+    /// Hashes of the messages that other requests may have.
+    pub parts: SuspectParts,
+}
+
+/// Lists the parts of prompts whose requests are refused.
+#[derive(Message)]
+#[rtype(result = "Vec<Refusal>")]
+pub struct ListRefusals;
+
 /// Lists the quarantined contents in the order of their hashes; contents that crashed only one
 /// server are left out.
 #[derive(Message)]
@@ -234,17 +252,28 @@
     fn announce_failure(&self, request: &RouteRequest, failed: &Placement, failure: Failure) {
         let server = failed.server.name.clone();
         match failure {
-            Failure::Broken if request.content_hash != 0 => self.announce(Announce::Suspect {
-                account: request.account.clone(),
-                content_hash: request.content_hash,
-                server,
-            }),
+            Failure::Broken | Failure::BrokenAtStart if request.content_hash != 0 => {
+                let parts = match failure {
+                    Failure::BrokenAtStart => request.parts.clone(),
+                    _ => SuspectParts::new(),
+                };
+                self.announce(Announce::Suspect {
+                    account: request.account.clone(),
+                    content_hash: request.content_hash,
+                    parts,
+                    server,
+                });
+            }
             Failure::Leaving => self.announce(Announce::ServerLeaving {
                 leaving: true,
                 server,
                 source: LeavingSource::Server,
             }),
-            Failure::Broken | Failure::Connect | Failure::Stalled | Failure::Status => {}
+            Failure::Broken
+            | Failure::BrokenAtStart
+            | Failure::Connect
+            | Failure::Stalled
+            | Failure::Status => {}
         }
     }
 
@@ -413,6 +442,12 @@
         let now = self.now();
         let quarantine = &mut self.router.quarantine;
         quarantine.record_crash(now, message.content_hash, &message.account, &message.server);
+        if !message.parts.is_empty() {
+            let changes = self
+                .router
+                .record_crash(now, &message.server, message.parts);
+            log_refusals(&changes, "peer");
+        }
     }
 }
 
@@ -420,7 +455,33 @@
     type Result = bool;
 
     fn handle(&mut self, message: ReleaseContent, _: &mut Self::Context) -> bool {
-        self.router.quarantine.release(message.content_hash)
+        let now = self.now();
+        let changes = self
+            .router
+            .part_quarantine
+            .release(now, message.content_hash);
+        log_refusals(&changes, "operator");
+        self.router.quarantine.release(message.content_hash) || !changes.is_empty()
+    }
+}
+
+impl Handler<RecordAnswer> for RouterActor {
+    type Result = ();
+
+    fn handle(&mut self, message: RecordAnswer, _: &mut Self::Context) {
+        let now = self.now();
+        let quarantine = &mut self.router.part_quarantine;
+        let changes = quarantine.record_answer(now, &message.parts, message.content_hash);
+        log_refusals(&changes, "answer");
+    }
+}
+
+impl Handler<ListRefusals> for RouterActor {
+    type Result = Vec<Refusal>;
+
+    fn handle(&mut self, _: ListRefusals, _: &mut Self::Context) -> Self::Result {
+        let refusals = self.router.part_quarantine.refusals(self.now());
+        refusals.cloned().collect()
     }
 }
 
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -332,7 +332,8 @@
     (unix.as_millis() / length.as_millis().max(1)) as UsageWindow
 }
 
-fn log_refusals(changes: &[RefusalChange], by: &str) {
+/// Logs what is refused from now on, or accepted again.
+pub(crate) fn log_refusals(changes: &[RefusalChange], by: &str) {
     for change in changes {
         let (state, refusal) = match change {
             RefusalChange::Begun(refusal) => ("begun", refusal),
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -487,6 +487,11 @@
                     (Failure::Stalled, reason)
                 }
             };
+            let has_begun = self.state.tokens() > resumed_tokens;
+            let failure = match failure {
+                Failure::Broken if !has_begun => Failure::BrokenAtStart,
+                failure => failure,
+            };
             return AttemptOutcome::Failed(AttemptError { failure, reason });
         }
     }
@@ -520,8 +525,11 @@
             OpenStreamError::BadRequest { body, status } => {
                 AttemptOutcome::Refused { body, status }
             }
-            OpenStreamError::Failed(failed) => {
+            OpenStreamError::Failed(mut failed) => {
                 self.may_have_run |= failed.may_have_run();
+                if failed.failure == Failure::Broken {
+                    failed.failure = Failure::BrokenAtStart;
+                }
                 AttemptOutcome::Failed(failed)
             }
         })
@@ -595,6 +603,12 @@
         if self.state.tokens() == 0 {
             self.context.metrics.first_token(self.started_at.elapsed());
         }
+        if self.state.tokens() == resumed_tokens {
+            self.context.router.do_send(RecordAnswer {
+                content_hash: self.route_request.content_hash,
+                parts: self.route_request.parts.clone(),
+            });
+        }
         self.state.text.push_str(&content);
         self.state.end_offsets.push(self.state.text.len() as u32);
         self.context.metrics.tokens(1);
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -551,6 +551,10 @@
     pub account: ::prost::alloc::string::String,
     #[prost(string, tag = "3")]
     pub server: ::prost::alloc::string::String,
+    /// Hashes of the messages that other requests may have too, if the server crashed as it began to
+    /// answer the request.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub parts: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServerLoad {
--- a/tests/decisions/router.rs
+++ b/tests/decisions/router.rs
@@ -20,6 +20,7 @@
         account: "quayside".into(),
         content_hash,
         conversation: 0,
+        parts: Default::default(),
         prefixes: PrefixHashes::new(),
         prompt_blocks: 0,
         request_id: "request".into(),
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -364,6 +364,50 @@
     assert_eq!(other.outcome(), "whole");
 }
 
+/// Body of a model call whose messages are a document and a question.
+fn chat_about(document: &str, question: &str) -> String {
+    serde_json::json!({
+        "model": MODEL,
+        "messages": [
+            { "role": "system", "content": "answer briefly" },
+            { "role": "user", "content": document },
+            { "role": "user", "content": question },
+        ],
+        "stream": false,
+        "max_tokens": 9,
+    })
+    .to_string()
+}
+
+// No two of the requests are alike; they share the document that crashes each engine.
+#[test]
+fn requests_with_a_message_that_crashes_each_engine_are_refused() {
+    let cluster = TestClusterBuilder::default().engines(6).entries(1).start();
+    let url = cluster.url(0, "/v1/chat/completions");
+    let ask = |body: String| block_on(send("POST", &url, &[bearer("quayside")], body));
+    for number in 0..30 {
+        let sound = ask(chat_about("a price list", &format!("question {number}")));
+        assert_eq!(sound.outcome(), "whole");
+    }
+    let mut last_code = String::new();
+    for number in 0..8 {
+        let crashing = chat_about(
+            ebonyspread_standins::engine::CRASH_TEXT,
+            &format!("question {number}"),
+        );
+        let reply = ask(crashing);
+        last_code = reply.json()["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned();
+    }
+    assert_eq!(last_code, "content_quarantined");
+    let killed = cluster.engines.iter().filter(|e| !is_up(e)).count();
+    assert!(killed <= 5, "{killed} engines killed");
+    let sound = ask(chat_about("a price list", "one more question"));
+    assert_eq!(sound.outcome(), "whole");
+}
+
 fn is_up(engine: &TestEngine) -> bool {
     std::net::TcpStream::connect(engine.server.address).is_ok()
 }
