Order servers when limits are named, not when the others are overloaded

With the limits of 70% of the model servers kept, callers got late answers for five to ten seconds: the first order went out at 11 s, 5 s after the limits, once the servers that were left had a backlog. A server with a limit counted as a whole one in the plan. Half of it now counts as missing.

Test: servers_that_limit_their_calls_are_supplemented_at_once fails without the change (12 servers before and after) and passes.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -19,6 +19,9 @@
 /// the current demand.
 const SLOT_UTILIZATION_TARGET: f64 = 0.4;
 
+/// Part of a server's capacity that is missing while it has named a limit on its calls.
+const LIMITED_LOSS: f64 = 0.5;
+
 /// Fraction of the largest number of reclaimable servers in one data centre for which on-demand
 /// servers are held in reserve: a reclaim is announced early enough to cover most of a server's
 /// start time, and on-demand servers cost several times as much.
@@ -83,6 +86,8 @@
 pub struct CapacityView {
     /// Servers by data centre and kind (true for reclaimable).
     pub counts: BTreeMap<(DataCentreName, bool), PoolCount>,
+    /// Number of ready servers with a limit in force on the calls that they take.
+    pub limited: u32,
     /// Prompt tokens per second that all instances send to the service and that are not cached
     /// there, including those of calls that no server could take.
     pub prefill_tokens_per_s: f64,
@@ -295,7 +300,8 @@
         view.prefill_tokens_per_s / (view.prefill_rate_per_s.max(1.0) * PREFILL_UTILIZATION_TARGET);
     let by_slots =
         f64::from(view.running) / (f64::from(view.slots.max(1)) * SLOT_UTILIZATION_TARGET);
-    (by_prefill.max(by_slots).ceil() as u32).max(1)
+    let lost = f64::from(view.limited) * LIMITED_LOSS;
+    ((by_prefill.max(by_slots) + lost).ceil() as u32).max(1)
 }
 
 /// Adds targets for on-demand servers: as many as are missing if `reserve_fraction` of the
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -494,7 +494,10 @@
             let count = view.counts.entry(key).or_default();
             match record.leaving {
                 true => count.leaving += 1,
-                false => count.ready += 1,
+                false => {
+                    count.ready += 1;
+                    view.limited += u32::from(server.limit.per_s(now).is_some());
+                }
             }
             view.running += server.running();
         }
--- a/tests/decisions/capacity.rs
+++ b/tests/decisions/capacity.rs
@@ -21,6 +21,8 @@
     is_shortage: bool,
     /// Reclaimed servers, each with the end of its notice.
     leaving: Vec<(Duration, DataCentreName, u32)>,
+    /// Number of ready servers that have named a limit.
+    limited: u32,
     now: Duration,
     orders: Vec<(Duration, CapacityOrder)>,
     ready: BTreeMap<(DataCentreName, bool), u32>,
@@ -37,6 +39,7 @@
             capacity: CapacityPlanner::default(),
             is_shortage: false,
             leaving: Vec::new(),
+            limited: 0,
             now: Duration::from_secs(1),
             orders: Vec::new(),
             ready,
@@ -113,6 +116,7 @@
 
     fn view(&self, prefill_tokens_per_s: f64) -> CapacityView {
         let mut view = CapacityView {
+            limited: self.limited,
             prefill_rate_per_s: RATE_PER_S,
             prefill_tokens_per_s,
             running: 0,
@@ -166,6 +170,22 @@
     );
 }
 
+// The demand that the other servers can no longer serve shows only once they are overloaded.
+#[test]
+fn servers_that_limit_their_calls_are_supplemented_at_once() {
+    let mut simulation = Simulation::new(6);
+    simulation.run(Duration::from_secs(30), 100_000.0);
+    let before: u32 = simulation.ready.values().sum();
+    simulation.limited = before * 2 / 3;
+    simulation.run(BOOT + Duration::from_secs(1), 100_000.0);
+    let after: u32 = simulation.ready.values().sum();
+    assert!(after >= before + before / 3, "{before} {after}");
+    simulation.limited = 0;
+    simulation.run(Duration::from_secs(30), 100_000.0);
+    let released: u32 = simulation.ready.values().sum();
+    assert_eq!(released, before);
+}
+
 #[test]
 fn reclaim_of_a_data_centre_leaves_enough_servers_for_the_demand() {
     let mut simulation = Simulation::new(6);
