Keep wire types out of digests; give limits a file of their own

Digests held reports in their wire types, converted outside; they now hold the domain types, with times by the sender's clock. The fleet's methods on limits move to fleet_limits.

--- a/src/crash_report.rs
+++ b/src/crash_report.rs
@@ -47,7 +47,14 @@
         xxh3_64_with_seed(server.as_bytes(), created_ms)
     }
 
-    /// Encodes the report for a peer, whose clock differs: the time becomes an age.
+    /// Converts the time from the clock of a peer whose digest was sent at `sent` and arrived at
+    /// `now`.
+    pub fn received(mut self, sent: Duration, now: Duration) -> Self {
+        self.at = now.saturating_sub(sent.saturating_sub(self.at));
+        self
+    }
+
+    /// Encodes the report for a digest that is sent at `now`: the time becomes an age.
     pub fn to_wire(&self, now: Duration) -> wire::CrashReport {
         wire::CrashReport {
             age_ms: now.saturating_sub(self.at).as_millis() as u32,
@@ -57,13 +64,13 @@
         }
     }
 
-    /// Decodes a peer's report that arrived at `now`.
-    pub fn from_wire(now: Duration, wire: wire::CrashReport) -> Self {
+    /// Decodes a report from a digest that was sent at `sent`.
+    pub fn from_wire(sent: Duration, wire: wire::CrashReport) -> Self {
         let age = Duration::from_millis(u64::from(wire.age_ms));
         let mut parts: SuspectParts = wire.parts.into_iter().take(PARTS_MAX).collect();
         parts.sort_unstable();
         Self {
-            at: now.saturating_sub(age),
+            at: sent.saturating_sub(age),
             crash: wire.crash,
             id: wire.id,
             parts,
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -104,8 +104,12 @@
     let mut wall_clock = serving.wall_clock.borrow_mut();
     wall_clock.record_peer_estimate(now, peer, digest.unix_ms);
     record_received(serving, &digest.data_centre, peer);
-    serving.merge_crash_reports(now, digest.crash_reports);
-    serving.merge_limits(now, peer, digest.limits);
+    let crash_reports = digest.crash_reports.into_iter();
+    let crash_reports = crash_reports.map(|report| report.received(digest.sent, now));
+    serving.merge_crash_reports(now, crash_reports.collect());
+    let limits = digest.limits.into_iter();
+    let limits = limits.map(|report| report.received(digest.sent, now));
+    serving.merge_limits(now, peer, limits.collect());
     let mut fleet = serving.fleet.borrow_mut();
     fleet.update_peer_loads(now, peer, &digest.loads);
     fleet.update_peer_rates(now, peer, digest.prefill_rates);
@@ -143,7 +147,6 @@
     let policy = serving.policy.borrow();
     let mut fleet = serving.fleet.borrow_mut();
     let limits = fleet.limits_to_send(now, round);
-    let limits = limits.iter().map(|report| report.to_wire(now)).collect();
     let mut loads = HashMap::new();
     for server in fleet.servers() {
         let load = server.own_load(now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -390,6 +390,7 @@
 pub mod feed_service;
 pub mod finish;
 pub mod fleet;
+pub mod fleet_limits;
 mod forwarded_body;
 pub mod front;
 pub mod gossip;
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -9,8 +9,9 @@
 /// State that an instance sends to one peer; in one round only `echoed` differs between peers.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct PeerDigest {
-    /// Reports of servers that crashed as they began to answer a request.
-    pub crash_reports: Vec<wire::CrashReport>,
+    /// Reports of servers that crashed as they began to answer a request, with times by the
+    /// sender's clock, as in `sent`.
+    pub crash_reports: Vec<CrashReport>,
     /// Data centre of the sender; the arrival of the digest shows that it can be reached.
     pub data_centre: DataCentreName,
     /// Units (calls or tokens, as the account's limit counts them) that the sender admitted and
@@ -26,8 +27,9 @@
     /// Start time of the sender's process in milliseconds since 1970; distinguishes it from earlier
     /// processes of the same instance.
     pub life: u64,
-    /// What the last answers of servers to the sender said about their limits.
-    pub limits: Vec<wire::LimitReport>,
+    /// What the last answers of servers to the sender said about their limits, with times by the
+    /// sender's clock, as in `sent`.
+    pub limits: Vec<LimitReport>,
     /// Load that the sender's own calls put on each server; servers without any are left out.
     pub loads: HashMap<ServerName, ServerLoad>,
     /// Time since the sender's policy was last proven to be the newest; `None` if it never was.
@@ -79,6 +81,10 @@
             .usage
             .iter()
             .map(|(window, counts)| encode_usage(*window, counts));
+        let crash_reports = digest.crash_reports.iter();
+        let crash_reports = crash_reports.map(|report| report.to_wire(digest.sent));
+        let limits = digest.limits.iter();
+        let limits = limits.map(|report| report.to_wire(digest.sent));
         let work = digest
             .prefill_rates
             .iter()
@@ -87,14 +93,14 @@
                 service: service.to_string(),
             });
         Self {
-            crash_reports: digest.crash_reports.clone(),
+            crash_reports: crash_reports.collect(),
             data_centre: digest.data_centre.to_string(),
             demands: demands.collect(),
             echoed_ms: digest.echoed.map_or(0, |echoed| echoed.as_millis() as u64),
             instance: digest.instance.to_string(),
             leaving: digest.leaving,
             life: digest.life,
-            limits: digest.limits.clone(),
+            limits: limits.collect(),
             loads: loads.collect(),
             policy_age_ms: digest.policy_age.map(|age| age.as_millis() as u64),
             policy_version: digest.policy_version,
@@ -115,10 +121,15 @@
             let running = load.running;
             loads.insert(load.server.into(), ServerLoad { backlog, running });
         }
+        let crash_reports = wire.crash_reports.into_iter();
         let demands = wire.demands.into_iter();
+        let limits = wire.limits.into_iter();
+        let sent = millis(wire.sent_ms);
         let work = wire.work.into_iter();
         Self {
-            crash_reports: wire.crash_reports,
+            crash_reports: crash_reports
+                .map(|wire| CrashReport::from_wire(sent, wire))
+                .collect(),
             data_centre: wire.data_centre.into(),
             demands: demands
                 .map(|wire| {
@@ -133,14 +144,16 @@
             instance: wire.instance.into(),
             leaving: wire.leaving,
             life: wire.life,
-            limits: wire.limits,
+            limits: limits
+                .map(|wire| LimitReport::from_wire(sent, wire))
+                .collect(),
             loads,
             policy_age: wire.policy_age_ms.map(millis),
             policy_version: wire.policy_version,
             prefill_rates: work
                 .map(|work| (work.service.into(), work.prefill_tokens_per_s))
                 .collect(),
-            sent: millis(wire.sent_ms),
+            sent,
             unix_ms: wire.unix_ms,
             usage: wire.usage.into_iter().map(decode_usage).collect(),
         }
--- a/src/server_limit.rs
+++ b/src/server_limit.rs
@@ -42,7 +42,14 @@
 }
 
 impl LimitReport {
-    /// Encodes the report for a peer, whose clock differs: the time becomes an age.
+    /// Converts the time from the clock of a peer whose digest was sent at `sent` and arrived at
+    /// `now`.
+    pub fn received(mut self, sent: Duration, now: Duration) -> Self {
+        self.at = now.saturating_sub(sent.saturating_sub(self.at));
+        self
+    }
+
+    /// Encodes the report for a digest that is sent at `now`: the time becomes an age.
     pub fn to_wire(&self, now: Duration) -> wire::LimitReport {
         wire::LimitReport {
             age_ms: now.saturating_sub(self.at).as_millis() as u32,
@@ -51,11 +58,12 @@
         }
     }
 
-    /// Decodes a peer's report that arrived at `now`. A limit that is not a number is left out.
-    pub fn from_wire(now: Duration, wire: wire::LimitReport) -> Self {
+    /// Decodes a report from a digest that was sent at `sent`. A limit that is not a number is left
+    /// out.
+    pub fn from_wire(sent: Duration, wire: wire::LimitReport) -> Self {
         let age = Duration::from_millis(u64::from(wire.age_ms));
         Self {
-            at: now.saturating_sub(age),
+            at: sent.saturating_sub(age),
             per_s: wire
                 .per_s
                 .filter(|limit| limit.is_finite() && *limit >= 0.0),
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -230,22 +230,17 @@
     }
 
     /// Applies the crash reports of a peer's digest.
-    pub fn merge_crash_reports(&self, now: Duration, reports: Vec<wire::CrashReport>) {
-        if reports.is_empty() {
-            return;
-        }
-        let reports = reports.into_iter();
-        let reports = reports.map(|wire| CrashReport::from_wire(now, wire));
+    pub fn merge_crash_reports(&self, now: Duration, reports: Vec<CrashReport>) {
         let mut quarantine = self.part_quarantine.borrow_mut();
-        log_refusals(&quarantine.merge(now, reports.collect()), "peer");
+        log_refusals(&quarantine.merge(now, reports), "peer");
     }
 
     /// Returns the crash reports for the digests of a round.
-    pub fn crash_reports_to_send(&self, now: Duration, round: u64) -> Vec<wire::CrashReport> {
+    pub fn crash_reports_to_send(&self, now: Duration, round: u64) -> Vec<CrashReport> {
         let mut quarantine = self.part_quarantine.borrow_mut();
         let (reports, changes) = quarantine.reports_to_send(now, round);
         log_refusals(&changes, "expiry");
-        reports.iter().map(|report| report.to_wire(now)).collect()
+        reports
     }
 
     /// Accepts requests with a part again, at an operator's request. Returns false if the part is
@@ -258,16 +253,9 @@
     }
 
     /// Applies a peer's reports on the limits of servers.
-    pub fn merge_limits(
-        &self,
-        now: Duration,
-        peer: &InstanceName,
-        reports: Vec<wire::LimitReport>,
-    ) {
-        let reports = reports.into_iter();
-        let reports = reports.map(|wire| LimitReport::from_wire(now, wire));
+    pub fn merge_limits(&self, now: Duration, peer: &InstanceName, reports: Vec<LimitReport>) {
         let mut fleet = self.fleet.borrow_mut();
-        for change in fleet.merge_limits(now, reports.collect()) {
+        for change in fleet.merge_limits(now, reports) {
             log_limit(&change.server, change.per_s, peer);
         }
     }
