Do not clear a part by a server's own error

A part that crashes servers was taken for sound when a server answered a request with it by an error of its own, such as 504 at the deadline of a call that it had not begun: overloaded servers do so while others crash. Only the body of a success, or an event, clears parts now.

Test: error_of_a_server_does_not_clear_a_part_that_crashes_servers failed (200 after the third crash) and passes (422).

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -565,7 +565,10 @@
         let reading = KeptBody::read(&self.serving.body_budget, response.body);
         match timeout_at(self.deadline, reading).await {
             Ok(Ok(body)) => {
-                self.record_event();
+                // A server's own error may come from a call that it has not begun.
+                if response.head.status.is_success() {
+                    self.record_event();
+                }
                 if body.rest.is_none() {
                     attempt.outcome = AttemptOutcome::Completed;
                 }
