Leave trials on the own edge to the instance that saw the crash

On the own edge an instance that heard of a crash counted it as its own, so that all instances would have tried a refused request at the same time. Found by reading the diff. Crashes that others saw are merged now.

Test: refused_request_is_tried_only_where_the_crash_was_seen, for both cases; it calls the new function and was not seen failing.

--- a/src/router.rs
+++ b/src/router.rs
@@ -419,24 +419,33 @@
         }
     }
 
-    /// Records that a server, as seen by this or another instance, crashed as it began to answer a
-    /// request with these parts.
-    pub fn record_crash(
+    /// Records that a server crashed as it began to answer a request with these parts, as another
+    /// instance saw it.
+    pub fn merge_crash(
         &mut self,
         now: Duration,
         server: &ServerName,
         parts: SuspectParts,
     ) -> Vec<RefusalChange> {
-        let Some(state) = self.state_mut(server) else {
-            return Vec::new();
-        };
+        match self.crash_report(now, server, parts) {
+            Some(report) => self.part_quarantine.merge(now, vec![report]),
+            None => Vec::new(),
+        }
+    }
+
+    fn crash_report(
+        &mut self,
+        now: Duration,
+        server: &ServerName,
+        parts: SuspectParts,
+    ) -> Option<CrashReport> {
+        let state = self.state_mut(server)?;
         // Several requests, of several instances, break at one crash.
         if now.saturating_sub(state.crashed_at) >= CRASH_INTERVAL_MIN {
             state.crashed_at = now;
         }
         let crash = CrashReport::crash_id(server, state.crashed_at.as_millis() as u64);
-        let report = CrashReport::new(now, crash, parts);
-        self.part_quarantine.record_crash(now, report)
+        Some(CrashReport::new(now, crash, parts))
     }
 
     /// Ends an attempt; `failure` is `None` if its answer was complete or its request is abandoned.
@@ -455,8 +464,10 @@
         }
         if failure == Some(Failure::BrokenAtStart) && !request.parts.is_empty() {
             let server = &placement.server.name;
-            let changes = self.record_crash(now, server, request.parts.clone());
-            log_refusals(&changes, "crash");
+            if let Some(report) = self.crash_report(now, server, request.parts.clone()) {
+                let changes = self.part_quarantine.record_crash(now, report);
+                log_refusals(&changes, "crash");
+            }
         }
         let Some(state) = self.state_mut(&placement.server.name) else {
             return;
--- a/src/router_actor.rs
+++ b/src/router_actor.rs
@@ -443,9 +443,7 @@
         let quarantine = &mut self.router.quarantine;
         quarantine.record_crash(now, message.content_hash, &message.account, &message.server);
         if !message.parts.is_empty() {
-            let changes = self
-                .router
-                .record_crash(now, &message.server, message.parts);
+            let changes = self.router.merge_crash(now, &message.server, message.parts);
             log_refusals(&changes, "peer");
         }
     }
--- a/tests/decisions/router.rs
+++ b/tests/decisions/router.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ebonyspread::crash_report::SuspectParts;
 use ebonyspread::error::Error;
+use ebonyspread::part_quarantine::TRIAL_DELAY;
 use ebonyspread::prefix::PrefixHashes;
 use ebonyspread::router::Failure;
 use ebonyspread::router::RouteRequest;
@@ -136,3 +138,33 @@
         "{again:?}"
     );
 }
+
+// An instance that only heard of the crashes leaves trials to the one that saw them.
+#[yare::parameterized(
+    seen_here = { true },
+    seen_by_another_instance = { false },
+)]
+fn refused_request_is_tried_only_where_the_crash_was_seen(seen_here: bool) {
+    let mut router = router(4, 60);
+    let mut parted = request(0);
+    parted.parts = SuspectParts::from_slice(&[7]);
+    for index in 0..3 {
+        let now = Duration::from_secs(10 + index);
+        let placement = router.admit(now, &parted).unwrap();
+        let server = placement.server.name.clone();
+        match seen_here {
+            true => router.end_attempt(now, &parted, &placement, Some(Failure::BrokenAtStart)),
+            false => {
+                router.end_attempt(now, &parted, &placement, None);
+                router.merge_crash(now, &server, parted.parts.clone());
+            }
+        }
+    }
+    let later = Duration::from_secs(12) + TRIAL_DELAY;
+    let early = router.admit(later - Duration::from_secs(1), &parted);
+    assert!(
+        matches!(early, Err(Error::QuarantinedParts { .. })),
+        "{early:?}"
+    );
+    assert_eq!(router.admit(later, &parted).is_ok(), seen_here);
+}
