Do not pass cleared crash reports on without end

A report that an answer has cleared is told to the peers for 2 s and then dropped. An instance that hears of it later told it back to those that had dropped it, which took it for a new one, and so on for an hour: bytes in every digest. A cleared report that is not known is now ignored.

--- a/src/part_quarantine.rs
+++ b/src/part_quarantine.rs
@@ -167,6 +167,11 @@
         for report in reports {
             let known = self.reports.iter_mut().find(|k| k.report.id == report.id);
             let Some(known) = known else {
+                // Otherwise instances would tell each other without end of a report that all of
+                // them have dropped.
+                if report.parts.is_empty() {
+                    continue;
+                }
                 is_changed = true;
                 self.reports.push(KnownReport {
                     changed_at: now,
--- a/tests/decisions/part_quarantine.rs
+++ b/tests/decisions/part_quarantine.rs
@@ -249,6 +249,29 @@
     assert!(is_refused(&instances[0], later + SECOND, &[50, CAUSE]));
 }
 
+// One instance clears a report that all of them hold. Each tells the next, so that the news comes
+// back to the first one after it has dropped the report.
+#[test]
+fn cleared_report_is_not_passed_on_without_end() {
+    let mut instances: Vec<PartQuarantine> = Vec::new();
+    for _ in 0..12 {
+        let mut quarantine = PartQuarantine::default();
+        quarantine.merge(NOW, vec![report(NOW, 1, &[COMMON])]);
+        instances.push(quarantine);
+    }
+    instances[0].record_answer(NOW + SECOND, &[COMMON], 7);
+    for round in 0..100 {
+        let now = NOW + SECOND + DIGEST_INTERVAL * round;
+        let send = |quarantine: &mut PartQuarantine| quarantine.reports_to_send(now, 1).0;
+        let sent: Vec<_> = instances.iter_mut().map(send).collect();
+        for (sender, reports) in sent.into_iter().enumerate() {
+            instances[(sender + 1) % 12].merge(now, reports);
+        }
+    }
+    let held: usize = instances.iter().map(PartQuarantine::report_count).sum();
+    assert_eq!(held, 0);
+}
+
 #[test]
 fn instance_that_starts_later_hears_what_is_refused() {
     let mut old = PartQuarantine::default();
