Log which calls are the same when an attempt breaks

Cause: the line of a broken attempt names the request's id, which differs each time, so that nothing told whether one call crashes the servers or they crash for another reason. It has the hash of account, path and body now.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -731,10 +731,12 @@
     pub(crate) fn log_attempt_failure(&self, end: &str, reason: &str) {
         let server = self.tried.last().map_or("", |server| server.as_str());
         warn!(
-            "attempt request={} server={server} end={end} answer={} sends={} prompt={} reason=\"{}\"",
+            "attempt request={} server={server} end={end} answer={} sends={} call={:016x} prompt={} \
+             reason=\"{}\"",
             self.call.request_id,
             self.answer.as_str(),
             self.sends,
+            self.whole,
             self.call
                 .prompt
                 .as_ref()
