Refuse calls that crash servers at any stage of their answer

Cause: a crash was reported only for an answer whose head had arrived and whose first event had not; plain calls crash a server before that, large bodies and streams after it. Nothing else can tell which of the broken calls it was.

Change: every request that breaks off with its server is reported: the request as a whole (account, method, host, path, query and body) and, before the first event, its parts that others may have. A complete answer clears the call. A cause explains its crashes whole, so that sound calls that ran beside it do not count. Shared parts of requests that only waited count once for servers lost within 100 ms. A malformed answer is no crash. Reports: 512 kept, 32 of one crash by an instance; those with a part of several crashes are sent first.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -50,7 +50,11 @@
         };
         serving.limits.borrow_mut().admit(now, account, units)?;
     }
-    let whole = request_hash(account, &call, &body);
+    let whole = request_hash(account, &call, call.uri.query(), &body);
+    let without_query = call
+        .uri
+        .query()
+        .map(|_| request_hash(account, &call, None, &body));
     let priority = account
         .and_then(|account| account.priority)
         .unwrap_or(route.priority);
@@ -74,6 +78,7 @@
         tried: SmallVec::new(),
         units,
         whole,
+        without_query,
     })
 }
 
@@ -108,11 +113,25 @@
     Ok(body.freeze())
 }
 
-/// Hashes what is equal if the same account sends a request again: its path and body.
-fn request_hash(account: Option<&AccountPolicy>, call: &CallHead, body: &[u8]) -> PartHash {
+/// Hashes what is equal if the same account sends a request again: its method, host, path, `query`
+/// and body.
+fn request_hash(
+    account: Option<&AccountPolicy>,
+    call: &CallHead,
+    query: Option<&str>,
+    body: &[u8],
+) -> PartHash {
     let account = account.map_or("", |account| account.name.as_str());
-    let seed = xxh3_64_with_seed(call.uri.path().as_bytes(), xxh3_64(account.as_bytes()));
-    xxh3_64_with_seed(body, seed)
+    let mut hash = xxh3_64(account.as_bytes());
+    for field in [
+        call.method.as_str(),
+        &call.host,
+        call.uri.path(),
+        query.unwrap_or_default(),
+    ] {
+        hash = xxh3_64_with_seed(field.as_bytes(), hash);
+    }
+    xxh3_64_with_seed(body, hash)
 }
 
 fn pick_service(
--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -78,6 +78,9 @@
 /// Reason why an attempt got no complete response.
 #[derive(Debug, Clone)]
 pub struct ServerCallError {
+    /// True if the other side closed or reset the connection, as when the server crashes; false for
+    /// an answer that is malformed or too large.
+    pub closed: bool,
     /// Whether any part of the call may have been sent, and so whether the server can have run it.
     pub progress: SendProgress,
     /// Cause of the failure, as text for the log.
@@ -91,8 +94,16 @@
 }
 
 impl ServerCallError {
+    fn closed(reason: impl ToString) -> Self {
+        Self {
+            closed: true,
+            ..Self::maybe_run(reason)
+        }
+    }
+
     fn maybe_run(reason: impl ToString) -> Self {
         Self {
+            closed: false,
             progress: SendProgress::MaybeRun,
             reason: reason.to_string(),
         }
@@ -100,6 +111,7 @@
 
     fn not_sent(reason: impl ToString) -> Self {
         Self {
+            closed: false,
             progress: SendProgress::NotSent,
             reason: reason.to_string(),
         }
@@ -366,15 +378,15 @@
                 write_result = writer.write(&request[written..]) => {
                     let count = write_result.map_err(|error| match written {
                         0 => ServerCallError::not_sent(error),
-                        _ => ServerCallError::maybe_run(error),
+                        _ => ServerCallError::closed(error),
                     })?;
                     written += count;
                 }
                 read = reader.read_buf(&mut self.buffer) => {
                     match read {
-                        Ok(0) => return Err(ServerCallError::maybe_run("closed while sending")),
+                        Ok(0) => return Err(ServerCallError::closed("closed while sending")),
                         Ok(_) => return Ok(false),
-                        Err(error) => return Err(ServerCallError::maybe_run(error)),
+                        Err(error) => return Err(ServerCallError::closed(error)),
                     }
                 }
             }
@@ -468,12 +480,12 @@
     async fn read_more(&mut self) -> Result<(), ServerCallError> {
         self.buffer.reserve(READ_BUFFER_BYTES);
         match self.stream.read_buf(&mut self.buffer).await {
-            Ok(0) => Err(ServerCallError::maybe_run("closed by the server")),
+            Ok(0) => Err(ServerCallError::closed("closed by the server")),
             Ok(count) => {
                 self.received_bytes += count;
                 Ok(())
             }
-            Err(error) => Err(ServerCallError::maybe_run(error)),
+            Err(error) => Err(ServerCallError::closed(error)),
         }
     }
 }
@@ -496,7 +508,7 @@
                         None
                     }
                     Ok(_) => Some(Ok(connection.buffer.split().freeze())),
-                    Err(error) => Some(Err(ServerCallError::maybe_run(error))),
+                    Err(error) => Some(Err(ServerCallError::closed(error))),
                 }
             }
             BodyDecoder::Codec(codec) => loop {
--- a/src/crash_report.rs
+++ b/src/crash_report.rs
@@ -1,4 +1,4 @@
-//! Report of a backend server that crashed as it began to answer a request.
+//! Report of a backend server that crashed before it had answered a request in full.
 
 use super::*;
 
@@ -11,13 +11,19 @@
 /// Parts of a request, sorted, any of which may be the cause of a crash.
 pub type SuspectParts = SmallVec<[PartHash; 4]>;
 
-/// A server's connection broke after it had sent the head of an answer and before the first event.
+/// A server's connection broke while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashReport {
     /// Time of the crash by the clock of the instance that holds the report.
     pub at: Duration,
+    /// The part that is the hash of the request as a whole, which only the same request of the same
+    /// account has; 0 if none is.
+    pub call: PartHash,
     /// Crash that the report is about; several requests may have been running.
     pub crash: CrashId,
+    /// True if the head of the answer had arrived, so that the server had begun the request and was
+    /// not past its start.
+    pub has_begun: bool,
     /// Identifies the report, however many of its parts have been cleared.
     pub id: u64,
     /// Parts of the request that have not been cleared since; empty if another cause is likely.
@@ -25,7 +31,7 @@
 }
 
 impl CrashReport {
-    /// Creates the report of a request with `parts`.
+    /// Creates the report of a request with `parts`, none of which is the request as a whole.
     pub fn new(at: Duration, crash: CrashId, mut parts: SuspectParts) -> Self {
         parts.sort_unstable();
         parts.dedup();
@@ -35,12 +41,26 @@
         }
         Self {
             at,
+            call: 0,
             crash,
+            has_begun: true,
             id,
             parts,
         }
     }
 
+    /// Names the part that is the hash of the request as a whole.
+    pub fn with_call(mut self, call: PartHash) -> Self {
+        self.call = call;
+        self
+    }
+
+    /// Sets whether the head of the answer had arrived; true by default.
+    pub fn begun(mut self, has_begun: bool) -> Self {
+        self.has_begun = has_begun;
+        self
+    }
+
     /// Identifies the crash of the process of `server` that started at `created_ms`, in
     /// milliseconds since 1970.
     pub fn crash_id(server: &str, created_ms: u64) -> CrashId {
@@ -58,7 +78,9 @@
     pub fn to_wire(&self, now: Duration) -> wire::CrashReport {
         wire::CrashReport {
             age_ms: now.saturating_sub(self.at).as_millis() as u32,
+            call: self.call,
             crash: self.crash,
+            has_begun: self.has_begun,
             id: self.id,
             parts: self.parts.to_vec(),
         }
@@ -71,7 +93,9 @@
         parts.sort_unstable();
         Self {
             at: sent.saturating_sub(age),
+            call: wire.call,
             crash: wire.crash,
+            has_begun: wire.has_begun,
             id: wire.id,
             parts,
         }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -118,6 +118,8 @@
     pub(crate) units: f64,
     /// Hash of the whole request.
     pub(crate) whole: PartHash,
+    /// Hash of the request without the query of its path; `None` if it has none.
+    pub(crate) without_query: Option<PartHash>,
 }
 
 /// One attempt at a server. Dropping it tells the fleet that the attempt has ended with `outcome`.
@@ -396,20 +398,28 @@
 
     fn shared_parts(&self) -> SuspectParts {
         let prompt = self.call.prompt.as_ref();
-        prompt.map(Prompt::shared_parts).unwrap_or_default()
+        let mut parts = prompt.map(Prompt::shared_parts).unwrap_or_default();
+        parts.extend(self.without_query);
+        parts
     }
 
-    /// Records that the server's connection broke. If it had only sent the head of its answer, the
-    /// request may be why it crashed.
+    /// Records that the server's connection broke, so that the request may be why it crashed. After
+    /// an event of the answer, its shared parts are not the reason.
     pub(crate) fn record_broken_answer(&self) {
-        if self.answer != AnswerProgress::Head {
+        let Some(server) = self.tried.last() else {
             return;
-        }
-        if let Some(server) = self.tried.last() {
-            let parts = self.suspect_parts();
-            self.serving
-                .record_crash(&self.call.request_id, server, parts);
-        }
+        };
+        let parts = match self.answer {
+            AnswerProgress::None | AnswerProgress::Head => self.suspect_parts(),
+            AnswerProgress::Events => SuspectParts::from_slice(&[self.whole]),
+        };
+        let has_begun = self.answer != AnswerProgress::None;
+        self.serving.record_crash(
+            &self.call.request_id,
+            server,
+            (parts, self.whole),
+            has_begun,
+        );
     }
 
     /// Records that a whole event has arrived in the last attempt.
@@ -418,6 +428,11 @@
             return;
         }
         self.answer = AnswerProgress::Events;
+        self.serving.record_first_event(&self.shared_parts());
+    }
+
+    /// Records that the answer of the last attempt is complete.
+    pub(crate) fn record_answer(&self) {
         self.serving.record_answer(&self.shared_parts(), self.whole);
     }
 
@@ -522,6 +537,9 @@
             SendProgress::MaybeRun => {
                 attempt.outcome = AttemptOutcome::Broken;
                 self.sends += 1;
+                if error.closed {
+                    self.record_broken_answer();
+                }
                 AttemptResult::Lost(error.reason)
             }
         }
@@ -565,12 +583,12 @@
         let reading = KeptBody::read(&self.serving.body_budget, response.body);
         match timeout_at(self.deadline, reading).await {
             Ok(Ok(body)) => {
-                // A server's own error may come from a call that it has not begun.
-                if response.head.status.is_success() {
-                    self.record_event();
-                }
                 if body.rest.is_none() {
                     attempt.outcome = AttemptOutcome::Completed;
+                    // A server's own error may come from a call that it has not begun.
+                    if response.head.status.is_success() {
+                        self.record_answer();
+                    }
                 }
                 Ok(AttemptResult::Whole(
                     attempt,
@@ -579,7 +597,9 @@
                 ))
             }
             Ok(Err(error)) => {
-                self.record_broken_answer();
+                if error.closed {
+                    self.record_broken_answer();
+                }
                 attempt.outcome = AttemptOutcome::Broken;
                 Ok(AttemptResult::Lost(error.reason))
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::fmt;
 use std::fmt::Write as _;
--- a/src/part_quarantine.rs
+++ b/src/part_quarantine.rs
@@ -1,15 +1,23 @@
-//! Finds the part of a prompt that crashes every backend server that begins to answer it, and
-//! refuses requests with that part.
+//! Finds the request, or the part of requests, that crashes every backend server that runs it, and
+//! refuses requests with it.
 //!
-//! The fault pattern that this is designed for: requests that share one part, and are otherwise
-//! different, arrive at any instance; each crashes the server that answers it, together with the
-//! answers of many sound requests there. The cause is found by elimination. Each crash is reported
-//! with the parts of the request whose answer had just begun, since the others were either waiting
-//! or past that point. A part is cleared of all earlier crashes when a server sends the first event
-//! of an answer on it. What no answer has cleared and enough crashes have in common is refused.
+//! The fault patterns that this is designed for: one request that its callers send again and again,
+//! or requests that share one part and are otherwise different, arrive at any instance; each
+//! crashes the server that runs it, together with many sound requests there. The cause is found by
+//! elimination. Each request that breaks off with a server is reported with its parts: the request
+//! as a whole (the call), and parts that other requests may have, such as those of a prompt. A part
+//! that others may have is cleared of all earlier crashes when a server sends the first event of an
+//! answer on it, and is not reported of a request that breaks off later; the call is cleared by a
+//! complete answer. What no answer has cleared and enough crashes have in common is refused.
 //!
-//! Two causes at once share innocent parts, such as a common first part. The part whose last answer
-//! is the longest ago explains its crashes, and these do not count against any other part.
+//! Many sound requests break off at each crash, and two causes at once share innocent parts, such as
+//! a common first part. The part whose last answer is the longest ago, and of several the one with
+//! the most crashes, explains its crashes, and these do not count against any other part.
+//!
+//! Servers that are lost at the same moment, as with a data centre, have a common part among the
+//! requests that wait there, which is not the cause. So such crashes count as one for a part that
+//! other requests may have, unless an answer had begun. Copies of one call may well crash several
+//! servers at the same time.
 //!
 //! Sound requests may be refused if servers crash for another reason several times in a row and no
 //! answer comes between. So one request is tried after a while, by the instance that saw the last
@@ -30,6 +38,10 @@
 /// servers have answered before.
 pub const CRASHES_TO_REFUSE_ANSWERED: usize = 5;
 
+/// Crashes within this time of each other count as one for a part that other requests may have and
+/// whose answer had not begun.
+pub const SAME_TIME: Duration = Duration::from_millis(100);
+
 /// Time after the last crash for which parts are refused. The next crash afterwards, within
 /// [`REPORT_TTL`], refuses them again.
 pub const REFUSAL_TIME: Duration = Duration::from_secs(600);
@@ -42,7 +54,14 @@
 pub const REPORT_TTL: Duration = Duration::from_secs(3_600);
 
 /// Maximum number of reports; the oldest that explain no refusal are dropped first.
-pub const REPORTS_MAX: usize = 256;
+pub const REPORTS_MAX: usize = 512;
+
+/// Number of reports that are kept when there are more than [`REPORTS_MAX`].
+const REPORTS_KEPT: usize = REPORTS_MAX * 3 / 4;
+
+/// Maximum number of requests that an instance reports of one crash. A model server runs about a
+/// hundred requests of all instances together.
+const OWN_REPORTS_PER_CRASH_MAX: usize = 32;
 
 /// Maximum number of reports that are kept for one refusal.
 const REPORTS_PER_REFUSAL_MAX: usize = 8;
@@ -123,8 +142,14 @@
 }
 
 impl PartQuarantine {
-    /// Records that a server sent the first event of an answer to a request with these parts.
-    /// `whole` is the hash of the whole request, which is remembered only if it is suspected.
+    /// Records that a server sent the first event of an answer to a request with these parts, which
+    /// clears them and not the request as a whole.
+    pub fn record_first_event(&mut self, now: Duration, shared: &[PartHash]) -> Vec<RefusalChange> {
+        self.record_answer(now, shared, 0)
+    }
+
+    /// Records that a server answered a request with these parts in full. `whole` is the hash of the
+    /// whole request, which is remembered only if it is suspected; 0 if it is not cleared.
     pub fn record_answer(
         &mut self,
         now: Duration,
@@ -150,9 +175,14 @@
         }
     }
 
-    /// Records a crash that this instance saw.
+    /// Records a crash that this instance saw. Of one crash, only the first
+    /// [`OWN_REPORTS_PER_CRASH_MAX`] requests are kept.
     pub fn record_crash(&mut self, now: Duration, report: CrashReport) -> Vec<RefusalChange> {
         let id = report.id;
+        let is_same = |known: &&KnownReport| known.is_own && known.report.crash == report.crash;
+        if self.reports.iter().filter(is_same).count() >= OWN_REPORTS_PER_CRASH_MAX {
+            return Vec::new();
+        }
         let changes = self.merge(now, vec![report]);
         for known in &mut self.reports {
             known.is_own |= known.report.id == id;
@@ -270,6 +300,9 @@
         if due.len() > REPORTS_PER_DIGEST_MAX {
             let first = (round as usize).wrapping_mul(REPORTS_PER_DIGEST_MAX) % due.len();
             due.rotate_left(first);
+            // Those with a part that broke off at several crashes first; the others stay in turn.
+            let repeated = self.repeated_parts();
+            due.sort_by_key(|report| !report.parts.iter().any(|part| repeated.contains(part)));
             due.truncate(REPORTS_PER_DIGEST_MAX);
         }
         (due, changes)
@@ -311,6 +344,11 @@
     fn decide(&self) -> Vec<Refusal> {
         let mut unexplained: Vec<&CrashReport> = self.reports.iter().map(|k| &k.report).collect();
         let mut refusals = Vec::new();
+        let mut seen: HashSet<CrashId> = HashSet::new();
+        seen.extend(unexplained.iter().map(|report| report.crash));
+        if seen.len() < CRASHES_TO_REFUSE {
+            return refusals;
+        }
         while let Some(cause) = self.likeliest_cause(&unexplained) {
             let mut parts: Option<SuspectParts> = None;
             let mut crashes: SmallVec<[CrashId; 8]> = SmallVec::new();
@@ -323,7 +361,7 @@
                 }
                 last_crash_at = last_crash_at.max(report.at);
             }
-            unexplained.retain(|report| !report.parts.contains(&cause));
+            unexplained.retain(|report| !crashes.contains(&report.crash));
             refusals.push(Refusal {
                 crashes: crashes.len(),
                 last_crash_at,
@@ -336,26 +374,30 @@
     /// Returns the part with enough crashes whose last answer is the longest ago; of several, the
     /// one with the most crashes.
     fn likeliest_cause(&self, reports: &[&CrashReport]) -> Option<PartHash> {
-        let mut crashes: BTreeMap<PartHash, SmallVec<[CrashId; 8]>> = BTreeMap::new();
+        let mut report_counts: HashMap<PartHash, usize> = HashMap::new();
+        for part in reports.iter().flat_map(|report| &report.parts) {
+            *report_counts.entry(*part).or_default() += 1;
+        }
+        let mut evidence: HashMap<PartHash, Evidence> = HashMap::new();
         for report in reports {
             for part in &report.parts {
-                let known = crashes.entry(*part).or_default();
-                if !known.contains(&report.crash) {
-                    known.push(report.crash);
+                if report_counts[part] >= CRASHES_TO_REFUSE {
+                    evidence.entry(*part).or_default().add(report, *part);
                 }
             }
         }
         let mut best = None;
-        for (part, crashes) in crashes {
+        for (part, evidence) in evidence {
+            let count = evidence.count();
             let answered_at = self.answered_at.get(&part).copied();
             let needed = match answered_at {
                 Some(_) => CRASHES_TO_REFUSE_ANSWERED,
                 None => CRASHES_TO_REFUSE,
             };
-            if crashes.len() < needed {
+            if count < needed {
                 continue;
             }
-            let rank = (answered_at, Reverse(crashes.len()), part);
+            let rank = (answered_at, Reverse(count), part);
             if best.is_none_or(|best| rank < best) {
                 best = Some(rank);
             }
@@ -388,10 +430,28 @@
         let refusals = &self.refusals;
         let is_covered =
             |report: &CrashReport| refusals.iter().any(|refusal| refusal.covers(report));
-        // Stable: each half stays in the order of time.
-        self.reports
-            .sort_by_key(|known| Reverse(is_covered(&known.report)));
-        self.reports.truncate(REPORTS_MAX);
+        let repeated = self.repeated_parts();
+        // Stable: each group stays in the order of time.
+        self.reports.sort_by_key(|known| {
+            let report = &known.report;
+            let is_repeated = report.parts.iter().any(|part| repeated.contains(part));
+            Reverse((is_covered(report), is_repeated))
+        });
+        self.reports.truncate(REPORTS_KEPT);
+    }
+
+    /// Returns the parts of requests that broke off at more than one crash.
+    fn repeated_parts(&self) -> HashSet<PartHash> {
+        let mut first_crash: HashMap<PartHash, CrashId> = HashMap::new();
+        let mut repeated = HashSet::new();
+        for KnownReport { report, .. } in &self.reports {
+            for part in &report.parts {
+                if *first_crash.entry(*part).or_insert(report.crash) != report.crash {
+                    repeated.insert(*part);
+                }
+            }
+        }
+        repeated
     }
 
     fn limit_answered(&mut self) {
@@ -405,6 +465,38 @@
     }
 }
 
+/// Crashes at which a part was among those of a request that broke off.
+#[derive(Debug, Default)]
+struct Evidence {
+    /// Each crash with its time, and whether it counts even if others were at the same time.
+    crashes: SmallVec<[(CrashId, Duration, bool); 8]>,
+}
+
+impl Evidence {
+    fn add(&mut self, report: &CrashReport, part: PartHash) {
+        let is_strong = report.has_begun || report.call == part;
+        let known = self.crashes.iter_mut();
+        match known.into_iter().find(|(crash, ..)| *crash == report.crash) {
+            Some((.., known_strong)) => *known_strong |= is_strong,
+            None => self.crashes.push((report.crash, report.at, is_strong)),
+        }
+    }
+
+    /// Number of crashes that count against the part.
+    fn count(mut self) -> usize {
+        self.crashes.sort_unstable_by_key(|(_, at, _)| *at);
+        let mut count = 0;
+        let mut counted_at = None;
+        for (_, at, is_strong) in self.crashes {
+            if is_strong || counted_at.is_none_or(|counted_at| at - counted_at >= SAME_TIME) {
+                count += 1;
+                counted_at = Some(at);
+            }
+        }
+        count
+    }
+}
+
 fn changes(before: &[Refusal], after: &[Refusal]) -> Vec<RefusalChange> {
     let has = |refusals: &[Refusal], parts| refusals.iter().any(|r| r.parts == parts);
     let mut changes = Vec::new();
--- a/src/pass_through.rs
+++ b/src/pass_through.rs
@@ -71,11 +71,17 @@
             }
             Ok(None) => {
                 self.attempt.outcome = AttemptOutcome::Completed;
+                if (200..300).contains(&self.status) {
+                    self.exchange.record_answer();
+                }
                 let server = &self.attempt.placed.server;
                 self.exchange.log_finish("whole", self.status, server);
                 return None;
             }
             Ok(Some(Err(error))) => {
+                if error.closed {
+                    self.exchange.record_broken_answer();
+                }
                 self.attempt.outcome = AttemptOutcome::Broken;
                 error.reason
             }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -110,6 +110,7 @@
                     let Some(reason) = self.early_end() else {
                         return self.finish_whole();
                     };
+                    self.exchange.record_broken_answer();
                     let cause = Interruption::PartialEvent;
                     match self.try_resume(cause, reason.to_owned()).await {
                         Ok(()) => continue,
@@ -117,6 +118,9 @@
                     }
                 }
                 Ok(Some(Err(error))) => {
+                    if error.closed {
+                        self.exchange.record_broken_answer();
+                    }
                     match self.try_resume(Interruption::Broken, error.reason).await {
                         Ok(()) => continue,
                         Err(error) => return Some(self.finish_broken(error).await),
@@ -204,9 +208,6 @@
 
     /// Resumes on another server if the stream is resumable and the retry budget allows it.
     async fn try_resume(&mut self, cause: Interruption, reason: String) -> Result {
-        if matches!(cause, Interruption::Broken | Interruption::PartialEvent) {
-            self.exchange.record_broken_answer();
-        }
         let retry = match self.exchange.route.call_kind.is_repeatable() {
             true => self.exchange.request_retry(),
             false => Err(RetryDenied::Route),
@@ -272,6 +273,7 @@
         let attempt = self.attempt.as_mut()?;
         attempt.outcome = AttemptOutcome::Completed;
         let server = attempt.placed.server.clone();
+        self.exchange.record_answer();
         self.exchange.log_finish("whole", 200, &server);
         None
     }
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -201,14 +201,24 @@
         feeds.entry(topic).or_default().confirm_end(at, end);
     }
 
-    /// Records that a server crashed as it began to answer a request with these parts. Has no effect
-    /// if the server is leaving, since its connections then break for that reason.
-    pub fn record_crash(&self, request_id: &str, server: &ServerName, parts: SuspectParts) {
+    /// Records that a server crashed while it ran a request with these parts; the second of the pair
+    /// is the one that is the hash of the whole request. `has_begun` is true if the head of the
+    /// answer had arrived. Has no effect if the server is leaving or no longer registered, since its
+    /// connections then break for that reason.
+    pub fn record_crash(
+        &self,
+        request_id: &str,
+        server: &ServerName,
+        (parts, call): (SuspectParts, PartHash),
+        has_begun: bool,
+    ) {
         let Some(crash) = self.fleet.borrow().crash_id(server) else {
             return;
         };
         let now = boot_time();
-        let report = CrashReport::new(now, crash, parts);
+        let report = CrashReport::new(now, crash, parts)
+            .with_call(call)
+            .begun(has_begun);
         warn!(
             "crash request={request_id} server={server} report={:016x} parts={}",
             report.id,
@@ -220,7 +230,17 @@
     }
 
     /// Records that a server sent the first event of an answer to a request. `shared` are its parts
-    /// that other requests may have, `whole` is the hash of the request.
+    /// that other requests may have.
+    pub fn record_first_event(&self, shared: &[PartHash]) {
+        let mut quarantine = self.part_quarantine.borrow_mut();
+        log_refusals(
+            &quarantine.record_first_event(boot_time(), shared),
+            "answer",
+        );
+    }
+
+    /// Records that a server answered a request in full. `shared` are its parts that other requests
+    /// may have, `whole` is the hash of the request.
     pub fn record_answer(&self, shared: &[PartHash], whole: PartHash) {
         let mut quarantine = self.part_quarantine.borrow_mut();
         log_refusals(
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -648,6 +648,12 @@
     /// Hashes of the parts of the request that may be the cause.
     #[prost(fixed64, repeated, tag = "4")]
     pub parts: ::prost::alloc::vec::Vec<u64>,
+    /// The one of the parts that is the hash of the request as a whole; 0 if none is.
+    #[prost(fixed64, tag = "5")]
+    pub call: u64,
+    /// True if the head of the answer had arrived.
+    #[prost(bool, tag = "6")]
+    pub has_begun: bool,
 }
 /// Load that the sender puts on a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/decisions/part_quarantine.rs
+++ b/tests/decisions/part_quarantine.rs
@@ -304,9 +304,104 @@
     assert!(bytes <= 2_048, "{bytes}");
 }
 
+/// Reports that a crash before the head of any answer leaves: the call that is its cause, and sound
+/// ones that ran beside it, each with its own hash.
+fn crash_beside(at: Duration, crash: u64, call: PartHash, sound: u64) -> Vec<CrashReport> {
+    let mut reports = vec![report(at, crash, &[call]).with_call(call).begun(false)];
+    for number in 0..sound {
+        let own = 10_000 + crash * 1_000 + number;
+        reports.push(report(at, crash, &[own]).with_call(own).begun(false));
+    }
+    reports
+}
+
+// Three servers crash within 208 ms by copies of one call, as in the report; each has other calls.
+#[test]
+fn copies_of_a_call_that_crash_servers_at_the_same_time_are_counted_each() {
+    let mut quarantine = PartQuarantine::default();
+    for (crash, after_ms) in [0, 95, 208].into_iter().enumerate() {
+        let at = NOW + Duration::from_millis(after_ms);
+        quarantine.merge(at, crash_beside(at, crash as u64, CAUSE, 12));
+    }
+    assert!(is_refused(&quarantine, NOW + SECOND, &[CAUSE]));
+    assert_eq!(quarantine.refusals(NOW + SECOND).count(), 1);
+}
+
+// A caller repeats a sound call, whose servers are crashed by another one each time.
+#[test]
+fn sound_call_that_broke_off_at_the_same_crashes_is_served() {
+    let mut quarantine = PartQuarantine::default();
+    let sound = 77;
+    for crash in 0..5 {
+        let at = NOW + SECOND * crash as u32;
+        let mut reports = crash_beside(at, crash, CAUSE, 12);
+        if (1..4).contains(&crash) {
+            reports.push(report(at, crash, &[sound]).with_call(sound).begun(false));
+        }
+        quarantine.merge(at, reports);
+    }
+    let now = NOW + SECOND * 5;
+    assert!(is_refused(&quarantine, now, &[CAUSE]));
+    assert!(!is_refused(&quarantine, now, &[sound]));
+}
+
+// A data centre is lost: no answer of its servers had begun, and all requests there share a part
+// on which no server is left to answer.
+#[test]
+fn part_that_waited_at_servers_lost_at_the_same_time_is_not_refused() {
+    let mut quarantine = PartQuarantine::default();
+    for crash in 0..20 {
+        let at = NOW + Duration::from_millis(crash * 4);
+        let own = 100 + crash;
+        let waiting = report(at, crash, &[COMMON, own]).with_call(own);
+        quarantine.record_crash(at, waiting.begun(false));
+    }
+    assert!(!is_refused(&quarantine, NOW + SECOND, &[COMMON, 8]));
+}
+
+#[test]
+fn part_that_crashes_servers_before_an_answer_begins_is_refused() {
+    let mut quarantine = PartQuarantine::default();
+    for crash in 0..CRASHES_TO_REFUSE as u64 {
+        let at = NOW + SECOND / 4 * crash as u32;
+        let own = 100 + crash;
+        let waiting = report(at, crash, &[COMMON, CAUSE, own]).with_call(own);
+        quarantine.record_crash(at, waiting.begun(false));
+        quarantine.record_first_event(at + SECOND / 8, &[COMMON]);
+    }
+    assert!(is_refused(&quarantine, NOW + SECOND, &[COMMON, CAUSE, 8]));
+    assert!(!is_refused(&quarantine, NOW + SECOND, &[COMMON, 8]));
+}
+
+// Events show that the parts of the prompt were read, not that the request as a whole is harmless.
+#[test]
+fn call_that_crashes_servers_after_events_is_refused_and_its_shared_parts_are_not() {
+    let mut quarantine = PartQuarantine::default();
+    for crash in 0..CRASHES_TO_REFUSE as u64 {
+        let at = NOW + SECOND * crash as u32;
+        quarantine.record_first_event(at, &[COMMON]);
+        quarantine.record_crash(at, report(at, crash, &[CAUSE]).with_call(CAUSE));
+    }
+    let now = NOW + SECOND * 3;
+    assert!(is_refused(&quarantine, now, &[COMMON, CAUSE]));
+    assert!(!is_refused(&quarantine, now, &[COMMON, 8]));
+    quarantine.record_answer(now, &[COMMON], CAUSE);
+    assert!(!is_refused(&quarantine, now, &[COMMON, CAUSE]));
+}
+
+#[test]
+fn report_keeps_its_call_and_progress_on_the_wire() {
+    for has_begun in [false, true] {
+        let sent = report(NOW, 1, &[COMMON, CAUSE]);
+        let sent = sent.with_call(CAUSE).begun(has_begun);
+        let received = CrashReport::from_wire(NOW, sent.to_wire(NOW));
+        assert_eq!(received, sent);
+    }
+}
+
 /// Rounds of digests until all of `count` instances refuse a part, whose crashes different
-/// instances have seen.
-fn rounds_until_all_refuse(count: u16) -> u32 {
+/// instances have seen, while sound requests break off at each crash.
+fn rounds_until_all_refuse(count: u16, sound_per_crash: u16) -> u32 {
     let mut instances: Vec<PartQuarantine> = Vec::new();
     let mut peers_of: Vec<Peers> = Vec::new();
     let name = |index: u16| InstanceName::from(format!("entry-{index}"));
@@ -324,6 +419,13 @@
         let parts = [COMMON, CAUSE, number as u64 + 10];
         seen_by.record_crash(NOW, report(NOW, number as u64, &parts));
     }
+    // At each crash a hundred sound streams of other instances break off.
+    for number in 0..sound_per_crash * 3 {
+        let seen_by = &mut instances[usize::from(number * 7 % count)];
+        let own = 100_000 + u64::from(number);
+        let crash = u64::from(number % 3);
+        seen_by.record_crash(NOW, report(NOW, crash, &[own]).with_call(own));
+    }
     for round in 0..100 {
         let now = NOW + DIGEST_INTERVAL * round;
         let refused = |q: &PartQuarantine| is_refused(q, now, &[COMMON, CAUSE]);
@@ -348,12 +450,18 @@
 }
 
 #[yare::parameterized(
-    small = { 6 },
-    grown = { 85 },
-    planned = { 410 },
+    small = { 6, 0 },
+    grown = { 85, 0 },
+    planned = { 410, 0 },
+    small_beside_sound_streams = { 6, 96 },
+    grown_beside_sound_streams = { 85, 96 },
+    planned_beside_sound_streams = { 410, 96 },
 )]
-fn all_instances_refuse_the_part_within_the_time_that_users_state(count: u16) {
-    let rounds = rounds_until_all_refuse(count);
+fn all_instances_refuse_the_part_within_the_time_that_users_state(
+    count: u16,
+    sound_per_crash: u16,
+) {
+    let rounds = rounds_until_all_refuse(count, sound_per_crash);
     let time = DIGEST_INTERVAL * rounds;
     assert!(time <= REFUSED_WITHIN, "{time:?}");
 }
