Refuse plain calls that crash servers on the own interface too

Cause: the router reports contents of model requests only; a plain call had the hash 0, so that nothing was known of it when its server closed the connection.

Change: a plain call has a hash of account, method, path, query and body. Each connection that its server closes, before, in or after the head of the answer, is reported to the part quarantine and to the other instances; a complete answer clears it.

--- a/bench/src/placement.rs
+++ b/bench/src/placement.rs
@@ -246,6 +246,7 @@
 
 fn route_request(prompt: &[u8], context: usize) -> RouteRequest {
     RouteRequest {
+        call: 0,
         account: "account-0".into(),
         content_hash: 1,
         conversation: context as u64 + 1,
--- a/bench/src/routing.rs
+++ b/bench/src/routing.rs
@@ -56,6 +56,7 @@
 fn route_request(round: u32) -> RouteRequest {
     let prompt = vec![(round % 24) as u8; PROMPT_BYTES];
     RouteRequest {
+        call: 0,
         account: "account-0".into(),
         content_hash: u64::from(round) + 1,
         conversation: u64::from(round % 64) + 1,
--- a/soak/src/routing.rs
+++ b/soak/src/routing.rs
@@ -172,6 +172,7 @@
         let account = SmolStr::from(format!("account-{}", self.schedule.below(ACCOUNTS)));
         let prompt = vec![self.schedule.below(8) as u8; 2_000];
         let request = RouteRequest {
+            call: 0,
             account: account.clone(),
             content_hash: match is_crashing {
                 true => CRASHING_CONTENT,
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -106,6 +106,7 @@
     request_id: RequestId,
 ) -> RouteRequest {
     RouteRequest {
+        call: 0,
         account,
         content_hash: chat.content_hash,
         conversation: chat.conversation_hash,
--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -89,7 +89,11 @@
 
 impl From<ServerCallError> for std::io::Error {
     fn from(error: ServerCallError) -> Self {
-        Self::other(error.reason)
+        let kind = match error.closed {
+            true => std::io::ErrorKind::ConnectionReset,
+            false => std::io::ErrorKind::Other,
+        };
+        Self::new(kind, error.reason)
     }
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -70,6 +70,8 @@
 /// Reason why an attempt at one server failed.
 #[derive(Debug, Clone)]
 pub struct AttemptError {
+    /// True if the server closed or reset the connection, as when it crashes.
+    pub closed: bool,
     /// Kind of failure; [`Failure::Connect`] proves that nothing was sent.
     pub failure: Failure,
     /// Cause of the failure, as text for the log.
@@ -83,6 +85,7 @@
             SendProgress::MaybeRun => Failure::Broken,
         };
         Self {
+            closed: error.closed,
             failure,
             reason: error.reason,
         }
@@ -170,6 +173,7 @@
             _ => Failure::Status,
         };
         Err(OpenStreamError::Failed(AttemptError {
+            closed: false,
             failure,
             reason: format!("status {status}"),
         }))
@@ -186,6 +190,7 @@
         new_connection: bool,
     ) -> Result<PlainResponse, AttemptError> {
         let address = server.address.parse().map_err(|_| AttemptError {
+            closed: false,
             failure: Failure::Connect,
             reason: format!("address {} is not an IP address and port", server.address),
         })?;
@@ -204,6 +209,7 @@
             Ok(Err(error)) => return Err(AttemptError::from(error)),
             Err(_) => {
                 return Err(AttemptError {
+                    closed: false,
                     failure: Failure::Stalled,
                     reason: format!("no answer within {} ms", call_timeout.as_millis()),
                 });
@@ -212,6 +218,7 @@
         let headers = response.head.headers.clone();
         if headers.contains_key(LEAVING_HEADER) {
             return Err(AttemptError {
+                closed: false,
                 failure: Failure::Leaving,
                 reason: "server is leaving and refused the call".to_owned(),
             });
@@ -229,6 +236,7 @@
         match tokio::time::timeout(timeout, self.fetch_document(url, timeout)).await {
             Ok(fetched) => fetched,
             Err(_) => Err(AttemptError {
+                closed: false,
                 failure: Failure::Broken,
                 reason: format!("{url} did not end within {} ms", timeout.as_millis()),
             }),
@@ -250,6 +258,7 @@
         match body {
             Ok(body) => Ok((status, body)),
             Err(error) => Err(AttemptError {
+                closed: false,
                 failure: Failure::Broken,
                 reason: error.to_string(),
             }),
@@ -296,6 +305,7 @@
         _ => Failure::Broken,
     };
     AttemptError {
+        closed: false,
         failure,
         reason: error.to_string(),
     }
@@ -338,6 +348,7 @@
     new_connection: bool,
 ) -> Result<RequestHead, AttemptError> {
     let not_sent = |reason: String| AttemptError {
+        closed: false,
         failure: Failure::Connect,
         reason,
     };
@@ -368,6 +379,16 @@
     Ok(head)
 }
 
+/// Returns true if a body ended because the server closed or reset the connection.
+pub(crate) fn is_closed(error: &PayloadError) -> bool {
+    let cause = match error {
+        PayloadError::Incomplete(cause) => cause.as_ref(),
+        PayloadError::Io(cause) => Some(cause),
+        _ => None,
+    };
+    cause.is_some_and(|cause| cause.kind() == ErrorKind::ConnectionReset)
+}
+
 fn stream_body(body: ServerResponseBody) -> ResponseStream {
     Box::pin(futures_util::stream::unfold(body, |mut body| async move {
         let part = body.next().await?;
--- a/src/forwarded_body.rs
+++ b/src/forwarded_body.rs
@@ -9,12 +9,14 @@
 /// Body of the response to a plain call.
 pub(crate) struct ForwardedBody {
     body: ResponseStream,
+    context: Arc<Context>,
     ended: bool,
     forwarded_bytes: usize,
-    request_id: RequestId,
-    server: ServerName,
+    placement: Placement,
+    route_request: RouteRequest,
     /// Time left to wait for the server. Time in which the caller does not read is not counted.
     server_time: Duration,
+    status: u16,
 }
 
 impl ForwardedBody {
@@ -23,18 +25,21 @@
     /// the caller's connection is then closed, so that the response cannot be mistaken for a
     /// complete one.
     pub(crate) fn start(
-        body: ResponseStream,
-        request_id: RequestId,
-        server: ServerName,
+        context: Arc<Context>,
+        route_request: RouteRequest,
+        placement: Placement,
+        response: PlainResponse,
         server_time: Duration,
     ) -> LocalBoxStream<'static, Result<Bytes>> {
         let forwarded = Self {
-            body,
+            body: response.body,
+            context,
             ended: false,
             forwarded_bytes: 0,
-            request_id,
-            server,
+            placement,
+            route_request,
             server_time,
+            status: response.status,
         };
         Box::pin(futures_util::stream::unfold(forwarded, Self::next))
     }
@@ -54,8 +59,19 @@
                 }
                 too_large_reason(self.forwarded_bytes as u64)
             }
-            Ok(Some(Err(error))) => error.to_string(),
-            Ok(None) => return None,
+            Ok(Some(Err(error))) => {
+                if is_closed(&error) {
+                    self.context.router.do_send(RecordCrash {
+                        placement: self.placement.clone(),
+                        route_request: self.route_request.clone(),
+                    });
+                }
+                error.to_string()
+            }
+            Ok(None) => {
+                record_whole_answer(&self.context, &self.route_request, self.status);
+                return None;
+            }
             Err(_) => format!(
                 "body did not end in time, after {} bytes",
                 self.forwarded_bytes
@@ -65,11 +81,11 @@
         tokio::time::sleep(FLUSH_TIME).await;
         warn!(
             "attempt request={} server={} end=lost reason=\"{}\"",
-            self.request_id,
-            self.server,
+            self.route_request.request_id,
+            self.placement.server.name,
             shorten(&reason),
         );
-        let server = self.server.clone();
+        let server = self.placement.server.name.clone();
         Some((Err(Error::ResponseLost { reason, server }), self))
     }
 }
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -57,6 +57,7 @@
     fn route_request(&self) -> RouteRequest {
         RouteRequest {
             account: self.account.clone(),
+            call: xxh3_64_with_seed(self.account.as_bytes(), self.body_hash()),
             content_hash: 0,
             conversation: 0,
             parts: SuspectParts::new(),
@@ -136,12 +137,19 @@
                     &request.request_id,
                     &format!("status={}", response.status),
                 );
-                let server = &placement.server.name;
-                return Ok(forward_response(request, server, response));
+                let route_request = route_request.clone();
+                return Ok(forward_response(
+                    context,
+                    request,
+                    route_request,
+                    placement,
+                    response,
+                ));
             }
             Err(failed) => failed,
         };
         log_attempt_failure(request, &placement, &failed);
+        record_broken_call(context, &route_request, &placement, &failed);
         may_have_run |= failed.may_have_run();
         tried.push(placement.server.name.clone());
         context.metrics.retry(failed.failure);
@@ -301,6 +309,12 @@
             Err(failed) => failed,
         };
         log_attempt_failure(self.request, &self.placement, &failed);
+        record_broken_call(
+            &self.worker.context,
+            &self.route_request,
+            &self.placement,
+            &failed,
+        );
         match failed.failure {
             Failure::Connect | Failure::Leaving => {
                 self.failed = Some(failed);
@@ -323,6 +337,7 @@
             Ok(read) => read?,
             Err(_) => {
                 return Err(AttemptError {
+                    closed: false,
                     failure: Failure::Broken,
                     reason: format!("body did not end within {} ms", timeout.as_millis()),
                 });
@@ -333,6 +348,7 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default();
         let record = recorded_answer(status, content_type, &body);
+        record_whole_answer(&self.worker.context, &self.route_request, status);
         let mut builder = response_builder(status, &self.request.request_id, Outcome::Whole);
         forward_headers(&mut builder, &headers);
         self.response = Some(builder.body(body));
@@ -390,12 +406,16 @@
 
 async fn read_response_body(mut response: PlainResponse) -> Result<Bytes, AttemptError> {
     let broken = |reason: String| AttemptError {
+        closed: false,
         failure: Failure::Broken,
         reason,
     };
     let mut body = BytesMut::new();
     while let Some(chunk) = response.body.next().await {
-        let chunk = chunk.map_err(|error| broken(error.to_string()))?;
+        let chunk = chunk.map_err(|error| AttemptError {
+            closed: is_closed(&error),
+            ..broken(error.to_string())
+        })?;
         if body.len() + chunk.len() > ONCE_RESPONSE_MAX_BYTES {
             return Err(broken(format!(
                 "response is larger than {ONCE_RESPONSE_MAX_BYTES} bytes"
@@ -531,6 +551,32 @@
     );
 }
 
+/// Reports the call as one that may crash servers, if the server closed the connection.
+fn record_broken_call(
+    context: &Context,
+    route_request: &RouteRequest,
+    placement: &Placement,
+    failed: &AttemptError,
+) {
+    if failed.closed {
+        context.router.do_send(RecordCrash {
+            placement: placement.clone(),
+            route_request: route_request.clone(),
+        });
+    }
+}
+
+/// Records that a call was answered in full, so that it does not crash servers. A server's own error
+/// may come from a call that it has not begun.
+pub(crate) fn record_whole_answer(context: &Context, route_request: &RouteRequest, status: u16) {
+    if (200..300).contains(&status) {
+        context.router.do_send(RecordAnswer {
+            content_hash: route_request.call,
+            parts: SuspectParts::new(),
+        });
+    }
+}
+
 fn lost_error(placement: &Placement, failed: AttemptError) -> Error {
     Error::ResponseLost {
         server: placement.server.name.clone(),
@@ -563,17 +609,20 @@
 
 /// Forwards a response; its body may take as long as the head.
 fn forward_response(
+    context: &Arc<Context>,
     request: &PlainRequest,
-    server: &ServerName,
+    route_request: RouteRequest,
+    placement: Placement,
     response: PlainResponse,
 ) -> HttpResponse {
     let request_id = &request.request_id;
     let mut builder = response_builder(response.status, request_id, Outcome::Whole);
     forward_headers(&mut builder, &response.headers);
     builder.streaming(ForwardedBody::start(
-        response.body,
-        request_id.clone(),
-        server.clone(),
+        context.clone(),
+        route_request,
+        placement,
+        response,
         request.route.timeout,
     ))
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -49,8 +49,11 @@
 pub struct RouteRequest {
     /// Account that owns the caller's key; its limits, retry budget and traffic weights apply.
     pub account: AccountName,
+    /// Hash of a plain call (a call other than a model call) as a whole, by which a call that
+    /// crashes servers is recognized; 0 for model calls.
+    pub call: PartHash,
     /// Hash of all messages of a model request, by which content that crashes servers is
-    /// recognized; 0 for plain calls (calls other than model calls), which are never suspects.
+    /// recognized; 0 for plain calls, which are never suspects.
     pub content_hash: u64,
     /// Hash of the leading messages that identify the conversation, whose requests keep their
     /// variant; 0 for plain calls.
@@ -69,6 +72,15 @@
     pub subject: Subject,
 }
 
+impl RouteRequest {
+    /// Returns the parts by which requests that crash servers are recognized.
+    pub fn suspect_parts(&self) -> SuspectParts {
+        let mut parts = self.parts.clone();
+        parts.extend((self.call != 0).then_some(self.call));
+        parts
+    }
+}
+
 /// Server chosen for an attempt. The attempt is included in the number of requests that run there
 /// until [`Router::end_attempt`] or [`Router::retry`] ends it.
 #[derive(Debug, Clone)]
@@ -407,7 +419,8 @@
                 content_hash: request.content_hash,
             });
         }
-        let refusal = self.part_quarantine.refusal(now, &request.parts).cloned();
+        let parts = request.suspect_parts();
+        let refusal = self.part_quarantine.refusal(now, &parts).cloned();
         match refusal {
             Some(refusal) if !new || !self.part_quarantine.begin_trial(now, &refusal) => {
                 Err(Error::QuarantinedParts {
@@ -419,16 +432,36 @@
         }
     }
 
-    /// Records that a server crashed as it began to answer a request with these parts, as another
-    /// instance saw it.
+    /// Records that a server crashed while it ran a request with these parts, as another instance
+    /// saw it; `call` is the one that is the hash of the whole request, or 0.
     pub fn merge_crash(
         &mut self,
         now: Duration,
         server: &ServerName,
         parts: SuspectParts,
+        call: PartHash,
     ) -> Vec<RefusalChange> {
         match self.crash_report(now, server, parts) {
-            Some(report) => self.part_quarantine.merge(now, vec![report]),
+            Some(report) => {
+                let reports = vec![report.with_call(call)];
+                self.part_quarantine.merge(now, reports)
+            }
+            None => Vec::new(),
+        }
+    }
+
+    /// Records that a server crashed while it ran a plain call of this instance.
+    pub fn record_crash(
+        &mut self,
+        now: Duration,
+        request: &RouteRequest,
+        server: &ServerName,
+    ) -> Vec<RefusalChange> {
+        match self.crash_report(now, server, request.suspect_parts()) {
+            Some(report) => {
+                let report = report.with_call(request.call);
+                self.part_quarantine.record_crash(now, report)
+            }
             None => Vec::new(),
         }
     }
--- a/src/router_actor.rs
+++ b/src/router_actor.rs
@@ -125,23 +125,34 @@
     pub source: LeavingSource,
 }
 
-/// Records evidence from another instance that a content (the messages of a model request) crashed
-/// a server.
+/// Records evidence from another instance that a content (the messages of a model request) or a
+/// plain call crashed a server.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct SuspectContent {
     /// Account that sent the request; operators see it in the list of quarantined contents.
     pub account: AccountName,
-    /// Hash of the request's messages, which is equal on all instances.
+    /// Hash of the request's messages, which is equal on all instances; 0 for a plain call.
     pub content_hash: u64,
     /// Parts of the request that other requests may have, if the server crashed as it began to
-    /// answer it; otherwise empty.
+    /// answer it; otherwise empty. Of a plain call, which has no content, the hash of the call.
     pub parts: SuspectParts,
     /// Server whose connection broke while it ran the content; after crashes of two servers the
     /// content is quarantined, so that its requests are refused.
     pub server: ServerName,
 }
 
+/// Records that a server crashed while it ran a plain call of this instance, and announces it to
+/// the others. Has no effect if the server is leaving.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct RecordCrash {
+    /// Server whose connection broke.
+    pub placement: Placement,
+    /// Call that it ran.
+    pub route_request: RouteRequest,
+}
+
 /// Releases a quarantined content, or parts that are refused, so that they are accepted again.
 /// Returns true if the content was quarantined or suspect, or the part refused.
 #[derive(Message)]
@@ -151,11 +162,12 @@
     pub content_hash: u64,
 }
 
-/// Records that a server sent the first token of an answer to a request with these parts.
+/// Records that a server sent the first token of an answer to a request with these parts, or the
+/// whole answer to a plain call.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct RecordAnswer {
-    /// Hash of the request's messages.
+    /// Hash of the request's messages, or of the plain call.
     pub content_hash: u64,
     /// Hashes of the messages that other requests may have.
     pub parts: SuspectParts,
@@ -440,15 +452,52 @@
 
     fn handle(&mut self, message: SuspectContent, _: &mut Self::Context) {
         let now = self.now();
-        let quarantine = &mut self.router.quarantine;
-        quarantine.record_crash(now, message.content_hash, &message.account, &message.server);
+        let call = match message.content_hash {
+            0 => message.parts.first().copied().unwrap_or_default(),
+            _ => 0,
+        };
+        if message.content_hash != 0 {
+            let quarantine = &mut self.router.quarantine;
+            quarantine.record_crash(now, message.content_hash, &message.account, &message.server);
+        }
         if !message.parts.is_empty() {
-            let changes = self.router.merge_crash(now, &message.server, message.parts);
+            let changes = self
+                .router
+                .merge_crash(now, &message.server, message.parts, call);
             log_refusals(&changes, "peer");
         }
     }
 }
 
+impl Handler<RecordCrash> for RouterActor {
+    type Result = ();
+
+    fn handle(&mut self, message: RecordCrash, _: &mut Self::Context) {
+        let now = self.now();
+        let RecordCrash {
+            placement,
+            route_request,
+        } = message;
+        let server = &placement.server.name;
+        if self.router.classify_failure(Failure::Broken, server) != Failure::Broken {
+            return;
+        }
+        warn!(
+            "crash request={} server={server} parts={}",
+            route_request.request_id,
+            format_parts(&route_request.suspect_parts()),
+        );
+        let changes = self.router.record_crash(now, &route_request, server);
+        log_refusals(&changes, "crash");
+        self.announce(Announce::Suspect {
+            account: route_request.account.clone(),
+            content_hash: 0,
+            parts: route_request.suspect_parts(),
+            server: server.clone(),
+        });
+    }
+}
+
 impl Handler<ReleaseContent> for RouterActor {
     type Result = bool;
 
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -492,7 +492,11 @@
                 Failure::Broken if !has_begun => Failure::BrokenAtStart,
                 failure => failure,
             };
-            return AttemptOutcome::Failed(AttemptError { failure, reason });
+            return AttemptOutcome::Failed(AttemptError {
+                closed: false,
+                failure,
+                reason,
+            });
         }
     }
 
@@ -795,6 +799,7 @@
 
 fn failed_attempt(failure: Failure, reason: &str) -> AttemptOutcome {
     AttemptOutcome::Failed(AttemptError {
+        closed: false,
         failure,
         reason: reason.to_owned(),
     })
--- a/tests/decisions/router.rs
+++ b/tests/decisions/router.rs
@@ -19,6 +19,7 @@
 
 fn request(content_hash: u64) -> RouteRequest {
     RouteRequest {
+        call: 0,
         account: "quayside".into(),
         content_hash,
         conversation: 0,
@@ -156,7 +157,7 @@
             true => router.end_attempt(now, &parted, &placement, Some(Failure::BrokenAtStart)),
             false => {
                 router.end_attempt(now, &parted, &placement, None);
-                router.merge_crash(now, &server, parted.parts.clone());
+                router.merge_crash(now, &server, parted.parts.clone(), 0);
             }
         }
     }
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -5,7 +5,14 @@
 
 mod support;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::thread;
 
 use ebonyspread::wire;
 use ebonyspread_standins::platform::PlatformFaults;
@@ -190,6 +197,81 @@
     assert_eq!(sent, 1);
 }
 
+/// Starts a server that crashes on calls with `deadly` in their path after it has sent `answer`: it
+/// closes the connection. Returns its address and the number of these calls.
+fn start_server_with_deadly_path(answer: &'static str) -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicU32::new(0));
+    let counted = count.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut request = [0; 4 << 10];
+            let read = stream.read(&mut request).unwrap_or(0);
+            let request = String::from_utf8_lossy(&request[..read]).into_owned();
+            let answer = match request.contains("/deadly") {
+                true => {
+                    counted.fetch_add(1, Ordering::SeqCst);
+                    answer
+                }
+                false => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
+            };
+            // The caller may have closed the connection already.
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    (address, count)
+}
+
+#[yare::parameterized(
+    idempotent_call_before_its_answer = { "GET", "" },
+    idempotent_call_in_the_head = { "GET", "HTTP/1.1 200 OK\r\nContent-" },
+    idempotent_call_in_the_body = { "GET", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody" },
+    order_before_its_answer = { "POST", "" },
+    order_in_the_head = { "POST", "HTTP/1.1 200 OK\r\nContent-" },
+    order_in_the_body = { "POST", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody" },
+)]
+fn plain_call_that_crashes_each_server_stops_reaching_servers(method: &str, answer: &'static str) {
+    let mut cluster = TestClusterBuilder::default().engines(0).start();
+    let row = cluster.table.backend_server[0].clone();
+    cluster.table.backend_server.clear();
+    let mut counts = Vec::new();
+    for number in 0..8 {
+        let (address, count) = start_server_with_deadly_path(answer);
+        counts.push(count);
+        cluster.table.backend_server.push(wire::BackendServerRow {
+            name: format!("server-{number}"),
+            address: address.to_string(),
+            lookup_path: String::new(),
+            ..row.clone()
+        });
+    }
+    let version = publish_table(&cluster.platform_url, &cluster.table);
+    cluster.wait_for_version(version);
+    let call = |path: &str| {
+        block_on(try_send(
+            method,
+            &cluster.url(0, path),
+            &[bearer("quayside")],
+            "{}",
+        ))
+    };
+    for number in 0..8 {
+        // A body that is cut off is an error of the client.
+        let _ = call("/orders/deadly");
+        let sound = call(&format!("/orders/{number}")).unwrap();
+        assert_eq!(sound.status, 200, "{number}");
+    }
+    let reached: u32 = counts
+        .iter()
+        .map(|count| count.load(Ordering::SeqCst))
+        .sum();
+    assert!(reached <= 5, "{reached}");
+    let refused = call("/orders/deadly").unwrap();
+    assert_eq!(refused.status, 422);
+    assert_eq!(refused.outcome(), "not-run");
+}
+
 #[test]
 fn refused_call_whose_key_ran_before_is_not_reported_as_not_run() {
     let mut cluster = TestClusterBuilder::default().engines(0).start();
