--- a/src/topic_follower.rs
+++ b/src/topic_follower.rs
@@ -85,7 +85,14 @@
             ViewRequest::Page { after } => {
                 let page = self.log.newest(self.topic, after).await?;
                 let source = page.source;
-                for change in view.apply_page(page.items, page.has_more, page.end) {
+                let (items, end) = (page.items.len(), page.end);
+                let changes = view.apply_page(page.items, page.has_more, page.end);
+                info!(
+                    "follow topic={} listed={items} end={end} changes={}",
+                    self.topic,
+                    changes.len()
+                );
+                for change in changes {
                     on_event(TopicEvent::Change(change));
                 }
                 if let Some(end) = view.caught_up_to() {
