Tell the records of a restored store from those that had their offsets

Cause: an offset was taken for the identity of a record for ever. When the store comes back from a copy, offsets are given out again, and what is written there counts as known.

Change: an offset carries the era of the store in its high bits, so that it only grows; answers of an earlier era are refused, and a read or a conditional append at an offset of another era fails. All that compares offsets follows: views of topics, copies for peers, fencing tokens. After a restore a key that the log lacks is kept for 2.5 s, one that had been dropped comes back with its next record only, instances register again, and a read confirms the configuration only if the log holds the newest version. An instance that is behind its peers gets the configuration from them; one that starts then waits a second for them to tell.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -93,6 +93,11 @@
     }
     let mut peers = serving.peers.borrow_mut();
     peers.record_digest(now, peer, address, &digest.data_centre, digest.sent);
+    peers.record_version(peer, digest.policy_version);
+    serving
+        .policy
+        .borrow_mut()
+        .record_peer_version(digest.policy_version);
     // A peer returns in `echoed` the send time of the last digest that it received from this
     // instance. It stated its policy's age after that time, however long its datagram was delayed,
     // so the age is counted from then.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -191,6 +191,7 @@
 use crate::log_client::LogRead;
 use crate::log_client::READ_WAIT;
 use crate::log_client::TABLE_STREAM;
+use crate::log_era::era_of;
 use crate::log_queue::LogQueue;
 use crate::logging::start_daemon_logging;
 use crate::logging::start_logging;
@@ -405,6 +406,7 @@
 pub mod lease;
 pub mod limit;
 pub mod log_client;
+pub mod log_era;
 pub mod log_queue;
 pub mod logging;
 pub mod member;
@@ -467,7 +469,8 @@
 pub type InstanceName = SmolStr;
 /// JSON object with its members by name.
 pub type JsonMap = serde_json::Map<String, Json>;
-/// Offset of a record in a stream of the log service.
+/// Offset of a record in a stream of the log service. Of a topic of the platform, with the era in its
+/// high bits (see [`log_era`]).
 pub type LogOffset = u64;
 /// Name of a path: the group of servers and table rows that belongs to one deployment, such as the
 /// old or the new one.
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -52,6 +52,8 @@
     /// Receipt time of the peer's last digest, and the send time that the digest contained; `None`
     /// before the first digest.
     pub last_digest: Option<(Duration, Duration)>,
+    /// Version of the policy that the peer has in force, by its last digest.
+    pub policy_version: PolicyVersion,
 }
 
 impl Peer {
@@ -90,6 +92,7 @@
                     data_centre: data_centre.into(),
                     known_at: now,
                     last_digest: None,
+                    policy_version: 0,
                 };
                 self.by_name.insert(record.key.clone(), peer);
             }
@@ -115,10 +118,25 @@
             data_centre: data_centre.clone(),
             known_at: now,
             last_digest: None,
+            policy_version: 0,
         });
         peer.last_digest = Some((now, sent));
     }
 
+    /// Records the version of the policy that a peer named in its digest.
+    pub fn record_version(&mut self, name: &InstanceName, version: PolicyVersion) {
+        if let Some(peer) = self.by_name.get_mut(name) {
+            peer.policy_version = version;
+        }
+    }
+
+    /// Returns up to two live peers whose policy is newer than `version`.
+    pub fn ahead(&self, now: Duration, version: PolicyVersion) -> SmallVec<[SocketAddr; 2]> {
+        let is_ahead = |peer: &&Peer| peer.policy_version > version && !peer.is_silent(now);
+        let ahead = self.by_name.values().filter(is_ahead);
+        ahead.take(2).map(|peer| peer.address).collect()
+    }
+
     /// Returns all known peers in the order of their names, including silent ones.
     pub fn iter(&self) -> impl Iterator<Item = (&InstanceName, &Peer)> {
         self.by_name.iter()
--- a/src/policy_state.rs
+++ b/src/policy_state.rs
@@ -6,6 +6,9 @@
 //! key are therefore served only while a read of the log, or a peer that has read it, shows that no
 //! newer policy had been accepted until a short time ago. The age of a policy is the time since the
 //! start of the last such read, by a clock that also advances while the machine is suspended.
+//!
+//! The log may be restored from an older copy. A read then shows that the policy is the newest only
+//! if the log holds the newest version that any instance is known to have.
 
 use super::*;
 
@@ -14,12 +17,23 @@
 pub struct PolicyState {
     confirmed_at: Option<Duration>,
     in_force: Option<Arc<Policy>>,
+    /// Version that the log held when it was last read; `None` before that, and after a restore.
+    log_version: Option<PolicyVersion>,
+    /// Newest version that a peer has named.
+    peer_version: PolicyVersion,
 }
 
 impl PolicyState {
-    /// Puts a policy in force. Returns false and keeps the one in force if the new one is not
-    /// newer.
+    /// Puts a policy that the log holds in force. Returns false and keeps the one in force if the
+    /// new one is not newer.
     pub fn update(&mut self, policy: Arc<Policy>) -> bool {
+        self.log_version = Some(policy.version);
+        self.adopt(policy)
+    }
+
+    /// Puts a policy that a peer has in force. Returns false and keeps the one in force if the new
+    /// one is not newer.
+    pub fn adopt(&mut self, policy: Arc<Policy>) -> bool {
         if let Some(current) = &self.in_force
             && policy.version <= current.version
             && !is_disabled(Safeguard::VersionMonotone)
@@ -31,9 +45,31 @@
     }
 
     /// Records that a read of the log that started at `began_at` reached its end, so that the
-    /// policy in force was the newest at that time.
+    /// policy in force was the newest at that time. Has no effect if the log was restored and holds
+    /// an older one, or if a peer has a newer one.
     pub fn confirm_newest(&mut self, began_at: Duration) {
-        self.confirmed_at = self.confirmed_at.max(Some(began_at));
+        let version = self.in_force.as_ref().map_or(0, |policy| policy.version);
+        let log_has_newest = self.in_force.is_none() || self.log_version >= Some(version);
+        if log_has_newest && !self.is_behind() {
+            self.confirmed_at = self.confirmed_at.max(Some(began_at));
+        }
+    }
+
+    /// Records that the log was restored from an older copy, so that the version that it holds is
+    /// not known until it is read again.
+    pub fn mark_restored(&mut self) {
+        self.log_version = None;
+    }
+
+    /// Records the version that a peer has in force.
+    pub fn record_peer_version(&mut self, version: PolicyVersion) {
+        self.peer_version = self.peer_version.max(version);
+    }
+
+    /// Returns true if a peer has a newer version than the one in force.
+    pub fn is_behind(&self) -> bool {
+        let version = self.in_force.as_ref().map_or(0, |policy| policy.version);
+        version < self.peer_version
     }
 
     /// Records a peer's confirmation that the policy with this version was the newest one at
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -44,6 +44,10 @@
     pub usage_window: Duration,
 }
 
+/// Time after the start of an instance until its peers have told which policy they have. Peers send
+/// digests several times a second.
+const PEER_VERSIONS_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Time since a peer last read a topic of the log from this instance; until it has passed, more
 /// reads are expected.
 const PEER_READ_TTL: Duration = Duration::from_secs(3);
@@ -122,6 +126,8 @@
     pub splitter: RefCell<WeightedSplitter>,
     /// True once a stop no longer waits for calls: those that end from now on are cut by it.
     pub stopped: Cell<bool>,
+    /// Time at which the process started, by the clock of [`boot_time`].
+    started_at: Duration,
     /// Counts of calls that began to run, by usage window and account.
     pub usage: RefCell<UsageCounter>,
     /// Estimate of the time since 1970, corrected by the clocks of the peers.
@@ -163,6 +169,7 @@
             retry_budget: RefCell::default(),
             settings,
             splitter: RefCell::new(WeightedSplitter::new(seed)),
+            started_at: boot_time(),
             stopped: Cell::new(false),
             usage: RefCell::new(UsageCounter::new(boot_time())),
             wall_clock: RefCell::new(WallClock::new(boot_time(), unix)),
@@ -280,6 +287,12 @@
         }
     }
 
+    /// Returns true if the peers have had time to tell which policy they have, or if the log, whose
+    /// topic ends at `end`, was never restored, so that it holds the newest one itself.
+    pub fn knows_peers(&self, end: LogOffset) -> bool {
+        era_of(end) == 0 || boot_time().saturating_sub(self.started_at) >= PEER_VERSIONS_DELAY
+    }
+
     /// Records that reads of a topic fail. Peers get no records of it until a read succeeds again.
     pub fn mark_feed_lost(&self, topic: &'static str) {
         let mut feeds = self.feeds.borrow_mut();
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -51,6 +51,10 @@
 /// Interval at which a stop checks whether calls are still in progress or connections open.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval at which it is checked whether a peer has a newer policy. It is longer than the log
+/// usually takes to deliver one.
+const ADOPT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Interval at which expired idle connections to servers are closed.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -105,7 +109,9 @@
         "start instance={} data_centre={} callers={} status={}",
         serving.settings.instance, serving.settings.data_centre, parts.callers, parts.status
     );
-    let log = start_shared_log(&serving, parts.log.clone(), parts.peer_address, &shutdown).await?;
+    let shared_log =
+        start_shared_log(&serving, parts.log.clone(), parts.peer_address, &shutdown).await?;
+    let log: Rc<dyn TopicLog> = shared_log.clone();
     let policies = TopicFollower {
         log: log.clone(),
         pause: Duration::ZERO,
@@ -119,6 +125,13 @@
         wait: reader_wait(serving.settings.edit_time, SERVERS_READ_INTERVAL).min(SERVERS_READ_WAIT),
     };
     follow_policies(&serving, policies, parts.decode_policy, &shutdown);
+    actix_rt::spawn(adopt_policies(
+        serving.clone(),
+        shared_log,
+        parts.policy_topic,
+        parts.decode_policy,
+        shutdown.clone(),
+    ));
     follow_servers(&serving, servers, parts.decode_server, &shutdown);
     let socket = bind_gossip(parts.peer_address).await?;
     actix_rt::spawn(run_gossip(serving.clone(), socket, shutdown.clone()));
@@ -163,7 +176,7 @@
     log: Rc<dyn TopicLog>,
     address: SocketAddr,
     shutdown: &CancellationToken,
-) -> Result<Rc<dyn TopicLog>> {
+) -> Result<Rc<SharedLog>> {
     let listener = listen(address)?;
     let metrics = serving.metrics.clone();
     let service = Rc::new(FeedService::new(serving.clone()));
@@ -249,18 +262,26 @@
     let topic = follower.topic;
     let on_event = move |event| match event {
         TopicEvent::CaughtUp { at, end } => {
-            serving.policy.borrow_mut().confirm_newest(at);
+            if serving.knows_peers(end) {
+                serving.policy.borrow_mut().confirm_newest(at);
+            }
             serving.confirm_feed_end(topic, at, end);
         }
         TopicEvent::Change(record) => {
             match decode(&record) {
-                Ok(Some(policy)) => apply_policy(&serving, policy, record.offset),
+                Ok(Some(policy)) => {
+                    if !apply_policy(&serving, policy, record.offset) {
+                        // Peers must not get an older policy, which a restored log may hold.
+                        return;
+                    }
+                }
                 Ok(None) => {}
                 Err(error) => warn!("policy offset={} skipped: {error}", record.offset),
             }
             serving.update_feed(topic, record);
         }
         TopicEvent::Reachable(true) => {}
+        TopicEvent::Restored => serving.policy.borrow_mut().mark_restored(),
         TopicEvent::Reachable(false) => serving.mark_feed_lost(topic),
     };
     actix_rt::spawn(follower.run(on_event, shutdown.clone()));
@@ -285,22 +306,74 @@
     actix_rt::spawn(async move {
         register_address(&serving, log.as_ref(), address).await;
         let own = serving.settings.instance.clone();
-        let on_event = move |event| {
-            if let TopicEvent::Change(record) = event {
+        let on_event = move |event| match event {
+            TopicEvent::Change(record) => {
                 let mut peers = serving.peers.borrow_mut();
                 peers.apply_record(boot_time(), &record, &own);
                 let mut limits = serving.limits.borrow_mut();
                 limits.set_instances(peers.known_count() + 1);
             }
+            TopicEvent::Restored => {
+                // The copy may be from before the registration.
+                let (serving, log) = (serving.clone(), log.clone());
+                actix_rt::spawn(async move {
+                    register_address(&serving, log.as_ref(), address).await;
+                });
+            }
+            TopicEvent::CaughtUp { .. } | TopicEvent::Reachable(_) => {}
         };
         follower.run(on_event, shutdown).await;
     });
 }
 
-fn apply_policy(serving: &ServingState, policy: Arc<Policy>, offset: LogOffset) {
+/// Puts a policy that the log holds in force, if it is newer. Returns false if it is older than the
+/// one in force.
+fn apply_policy(serving: &ServingState, policy: Arc<Policy>, offset: LogOffset) -> bool {
     let version = policy.version;
-    let taken = serving.policy.borrow_mut().update(policy);
+    let mut state = serving.policy.borrow_mut();
+    let taken = state.update(policy);
     info!("policy version={version} offset={offset} taken={taken}");
+    state
+        .in_force()
+        .is_none_or(|policy| policy.version <= version)
+}
+
+/// Gets the policy from a peer whenever one has a newer version than this instance, which reads it
+/// from the log unless that was restored from an older copy.
+async fn adopt_policies(
+    serving: Rc<ServingState>,
+    log: Rc<SharedLog>,
+    topic: &'static str,
+    decode: fn(&KeyedRecord) -> Result<Option<Arc<Policy>>>,
+    shutdown: CancellationToken,
+) {
+    while !shutdown.is_cancelled() {
+        tokio::time::sleep(ADOPT_INTERVAL).await;
+        let version = match serving.policy.borrow().in_force() {
+            Some(policy) => policy.version,
+            None => 0,
+        };
+        let peers = serving.peers.borrow().ahead(boot_time(), version);
+        for address in peers {
+            let Some(page) = log.read_peer(address, topic).await else {
+                continue;
+            };
+            for record in page.records {
+                match decode(&record) {
+                    Ok(Some(policy)) => {
+                        let version = policy.version;
+                        let taken = serving.policy.borrow_mut().adopt(policy);
+                        info!("policy version={version} peer={address} taken={taken}");
+                    }
+                    Ok(None) => {}
+                    Err(error) => warn!("policy peer={address} skipped: {error}"),
+                }
+            }
+            if !serving.policy.borrow().is_behind() {
+                break;
+            }
+        }
+    }
 }
 
 fn follow_servers(
@@ -318,7 +391,7 @@
                 serving.update_feed(topic, record);
             }
         }
-        TopicEvent::Reachable(true) => {}
+        TopicEvent::Reachable(true) | TopicEvent::Restored => {}
         TopicEvent::Reachable(false) => serving.mark_feed_lost(topic),
     };
     actix_rt::spawn(follower.run(on_event, shutdown.clone()));
--- a/src/shared_log.rs
+++ b/src/shared_log.rs
@@ -105,6 +105,23 @@
         peers.readers(now, &settings.instance, &settings.data_centre)
     }
 
+    /// Reads the newest record of each key from a peer's copy, however old it is. Returns `None` if
+    /// the peer does not answer or has no copy.
+    pub async fn read_peer(&self, address: SocketAddr, topic: &'static str) -> Option<FeedPage> {
+        let request = Body::TopicReadRequest(wire::TopicReadRequest {
+            from: None,
+            topic: topic.to_owned(),
+            wait_ms: 0,
+        });
+        let sent_at = boot_time();
+        match self.links.request(address, request, PEER_TIMEOUT).await {
+            Some(Body::TopicReadReply(reply)) if !reply.unknown && !reply.gone => {
+                Some(FeedPage::from_reply(reply, sent_at))
+            }
+            _ => None,
+        }
+    }
+
     /// Asks peers in turn until one gives a recent answer or reports that it no longer keeps the
     /// requested records. Returns `None` if the log has to be read directly.
     async fn read_from_peers(
--- a/src/topic_feed.rs
+++ b/src/topic_feed.rs
@@ -24,7 +24,8 @@
     Gone,
     /// Changes from the offset on; empty if the reader has all of them.
     Records(FeedPage),
-    /// The topic has not been read to its end yet, or cannot be read at present.
+    /// The topic has not been read to its end yet, or cannot be read at present, or was not read
+    /// since the log was restored.
     Unknown,
 }
 
@@ -99,6 +100,10 @@
         let Some((end, as_of)) = self.observed_end.filter(|_| !self.is_unreadable) else {
             return FeedRead::Unknown;
         };
+        if era_of(from) > era_of(end) {
+            // The reader knows of a restore of the log that this instance has not seen.
+            return FeedRead::Unknown;
+        }
         if from < self.complete_from {
             return FeedRead::Gone;
         }
--- a/src/topic_follower.rs
+++ b/src/topic_follower.rs
@@ -11,6 +11,10 @@
 /// a limited time after the last read that showed it to be the newest.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Time after a restore of the log for which keys that it lacks are kept: whoever wrote them writes
+/// them again within about two seconds.
+const RESTORE_TIME: Duration = Duration::from_millis(2_500);
+
 /// Reads one topic continuously and reports its changes.
 pub struct TopicFollower {
     /// Log service that holds the topic, or peers that serve copies of it.
@@ -38,6 +42,8 @@
     Change(KeyedRecord),
     /// Reads started to fail (false), or succeed again (true).
     Reachable(bool),
+    /// The log was restored from an older copy. Changes show what it holds now.
+    Restored,
 }
 
 impl TopicFollower {
@@ -49,6 +55,7 @@
         // Time at which the read of the first page started. The pages together contain everything
         // that the log accepted before that time.
         let mut pages_began_at = None;
+        let mut restored_at = None;
         loop {
             let mut began_at = boot_time();
             match view.next_request() {
@@ -57,8 +64,14 @@
             }
             let read = tokio::select! {
                 () = shutdown.cancelled() => return,
-                read = self.read(&mut view, began_at, &mut on_event) => read,
+                read = self.read(&mut view, began_at, &mut restored_at, &mut on_event) => read,
             };
+            if restored_at.is_some_and(|at| boot_time().saturating_sub(at) >= RESTORE_TIME) {
+                restored_at = None;
+                for change in view.drop_absent() {
+                    on_event(TopicEvent::Change(change));
+                }
+            }
             let pause = match &read {
                 Ok(ReadSource::Log) => self.pause,
                 Ok(ReadSource::Peer { .. }) => Duration::ZERO,
@@ -79,6 +92,7 @@
         &self,
         view: &mut KeyedView,
         began_at: Duration,
+        restored_at: &mut Option<Duration>,
         on_event: &mut impl FnMut(TopicEvent),
     ) -> Result<ReadSource> {
         match view.next_request() {
@@ -92,6 +106,10 @@
                     self.topic,
                     changes.len()
                 );
+                if view.take_restored() {
+                    *restored_at = Some(boot_time());
+                    self.report_restore(end, on_event);
+                }
                 for change in changes {
                     on_event(TopicEvent::Change(change));
                 }
@@ -117,7 +135,11 @@
                     view.restart();
                     return Ok(ReadSource::Log);
                 };
-                for change in view.apply_records(self.decode_records(records), next) {
+                let changes = view.apply_records(self.decode_records(records), next);
+                if view.take_restored() {
+                    self.report_restore(next, on_event);
+                }
+                for change in changes {
                     on_event(TopicEvent::Change(change));
                 }
                 if next >= end {
@@ -129,6 +151,11 @@
         }
     }
 
+    fn report_restore(&self, end: LogOffset, on_event: &mut impl FnMut(TopicEvent)) {
+        warn!("log topic={} restored era={}", self.topic, era_of(end));
+        on_event(TopicEvent::Restored);
+    }
+
     fn decode_records(&self, records: Vec<(LogOffset, Bytes)>) -> Vec<KeyedRecord> {
         let mut decoded = Vec::with_capacity(records.len());
         for (offset, raw) in records {
--- a/tests/decisions/policy_state.rs
+++ b/tests/decisions/policy_state.rs
@@ -63,3 +63,36 @@
     assert!(state.confirm_by_peer(2, seconds(8)));
     assert!(state.fresh(seconds(9), AGE_MAX).is_ok());
 }
+
+// A revocation may be among what the log lost.
+#[test]
+fn restored_log_confirms_nothing_until_it_holds_the_newest_version() {
+    let mut state = state(5);
+    state.confirm_newest(seconds(10));
+    state.mark_restored();
+    state.confirm_newest(seconds(11));
+    assert!(!state.update(Arc::new(Policy::new(3))));
+    state.confirm_newest(seconds(12));
+    assert_eq!(state.age(seconds(12)), Some(seconds(2)));
+    assert!(!state.update(Arc::new(Policy::new(5))));
+    state.confirm_newest(seconds(13));
+    assert_eq!(state.age(seconds(13)), Some(seconds(0)));
+    assert_eq!(state.in_force().unwrap().version, 5);
+}
+
+// An instance that starts reads the copy, and a peer knows the version that was lost.
+#[test]
+fn policy_is_not_fresh_while_a_peer_has_a_newer_one() {
+    let mut state = PolicyState::default();
+    state.record_peer_version(5);
+    assert!(state.update(Arc::new(Policy::new(3))));
+    state.confirm_newest(seconds(10));
+    assert!(state.fresh(seconds(10), AGE_MAX).is_err());
+    assert!(state.is_behind());
+    assert!(state.adopt(Arc::new(Policy::new(5))));
+    assert!(!state.is_behind());
+    state.confirm_newest(seconds(11));
+    assert!(state.fresh(seconds(11), AGE_MAX).is_err());
+    assert!(state.confirm_by_peer(5, seconds(9)));
+    assert!(state.fresh(seconds(11), AGE_MAX).is_ok());
+}
--- a/tests/decisions/topic_feed.rs
+++ b/tests/decisions/topic_feed.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use ebonyspread::LogOffset;
 use ebonyspread::keyed_view::KeyedRecord;
+use ebonyspread::log_era::offset_in;
 use ebonyspread::topic_feed::FeedPage;
 use ebonyspread::topic_feed::FeedRead;
 use ebonyspread::topic_feed::TopicFeed;
@@ -131,3 +132,21 @@
     feed.confirm_end(READ_AT, 12);
     assert_eq!(records(feed.read(10)), Vec::<LogOffset>::new());
 }
+
+// The log lost the record at 12; another one got its offset.
+#[test]
+fn reader_of_a_copy_gets_what_a_restored_log_holds_at_known_offsets() {
+    let mut feed = feed();
+    feed.apply(record("a", 12, Some("lost")));
+    feed.confirm_end(READ_AT, 13);
+    feed.apply(record("b", offset_in(1, 12), Some("second")));
+    feed.confirm_end(READ_AT, offset_in(1, 13));
+    assert_eq!(records(feed.read(13)), [offset_in(1, 12)]);
+    assert!(records(feed.read(offset_in(1, 13))).is_empty());
+}
+
+#[test]
+fn copy_from_before_a_restore_is_not_read_by_instances_that_know_of_it() {
+    let feed = feed();
+    assert_eq!(feed.read(offset_in(1, 3)), FeedRead::Unknown);
+}
