Serve after a start as soon as a peer has told its configuration

Change: reads confirm at once; the configuration is used once one peer, whose own is confirmed, has told its version, or after a second without any. An instance that is behind then waits until it has caught up; later, an edit that a peer has first stops nothing.

The tests of policy_state settle their state first, which stands for peers that have told; what they assert is unchanged.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -25,7 +25,7 @@
     trace.request_id.get_or_init(|| call.request_id.clone());
     let body = read_body(&mut request, body_limit_bytes(serving)).await?;
     let now = boot_time();
-    let policy = fresh_policy(serving, now)?;
+    let policy = serving.fresh_policy(now)?;
     let route = policy
         .route_for(&call.host, call.uri.path())
         .ok_or(Error::UnknownRoute)?
@@ -82,15 +82,6 @@
     })
 }
 
-/// Returns the policy, or an error if this instance last confirmed too long ago that it has the
-/// newest one: an older policy may not decide about keys and routes.
-fn fresh_policy(serving: &ServingState, now: Duration) -> Result<Arc<Policy>> {
-    serving
-        .policy
-        .borrow()
-        .fresh(now, serving.policy_age_max.get())
-}
-
 fn body_limit_bytes(serving: &ServingState) -> usize {
     let policy_state = serving.policy.borrow();
     policy_state
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -98,6 +98,9 @@
         .policy
         .borrow_mut()
         .record_peer_version(digest.policy_version);
+    if digest.policy_age.is_some() {
+        serving.record_peer_told();
+    }
     // A peer returns in `echoed` the send time of the last digest that it received from this
     // instance. It stated its policy's age after that time, however long its datagram was delayed,
     // so the age is counted from then.
--- a/src/policy_state.rs
+++ b/src/policy_state.rs
@@ -17,6 +17,8 @@
 pub struct PolicyState {
     confirmed_at: Option<Duration>,
     in_force: Option<Arc<Policy>>,
+    /// True once this instance has had the newest version that its peers are known to have.
+    is_settled: bool,
     /// Version that the log held when it was last read; `None` before that, and after a restore.
     log_version: Option<PolicyVersion>,
     /// Newest version that a peer has named.
@@ -66,6 +68,12 @@
         self.peer_version = self.peer_version.max(version);
     }
 
+    /// Records that the peers have had time to tell which version they have. Until this has been
+    /// called with none of them ahead, the policy is not fresh.
+    pub fn settle(&mut self) {
+        self.is_settled |= self.in_force.is_some() && !self.is_behind();
+    }
+
     /// Returns true if a peer has a newer version than the one in force.
     pub fn is_behind(&self) -> bool {
         let version = self.in_force.as_ref().map_or(0, |policy| policy.version);
@@ -99,13 +107,13 @@
 
     /// Returns the policy in force if it was known to be the newest at most `age_max` ago. The
     /// error is `TableMissing` if the instance has no policy yet, and `TableStale` if the policy is
-    /// older than that.
+    /// older than that or peers may have a newer one.
     pub fn fresh(&self, now: Duration, age_max: Duration) -> Result<Arc<Policy>> {
         let Some(policy) = &self.in_force else {
             return Err(Error::TableMissing);
         };
         match self.age(now) {
-            Some(age) if age <= age_max => Ok(policy.clone()),
+            Some(age) if age <= age_max && self.is_settled => Ok(policy.clone()),
             age => Err(Error::TableStale {
                 age_ms: age.unwrap_or(now).as_millis() as u64,
             }),
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -44,8 +44,8 @@
     pub usage_window: Duration,
 }
 
-/// Time after the start of an instance until its peers have told which policy they have. Peers send
-/// digests several times a second.
+/// Maximum time for which an instance waits after its start for a peer to tell which policy it has.
+/// Peers send digests several times a second.
 const PEER_VERSIONS_DELAY: Duration = Duration::from_millis(1_000);
 
 /// Time since a peer last read a topic of the log from this instance; until it has passed, more
@@ -110,6 +110,8 @@
     /// Time since boot at which a peer last read a topic of the log from this instance; `None` if
     /// none has.
     peer_read_at: Cell<Option<Duration>>,
+    /// True once a peer has told which policy it has.
+    peer_told: Cell<bool>,
     /// Other instances, from the addresses that they registered in the log.
     pub peers: RefCell<Peers>,
     /// Parts of prompts that crash servers, whose requests are refused.
@@ -162,6 +164,7 @@
             limits: RefCell::new(UsageLimits::new(settings.limit_window, unknown_until, seed)),
             metrics,
             peer_read_at: Cell::default(),
+            peer_told: Cell::default(),
             peers: RefCell::default(),
             part_quarantine: RefCell::default(),
             policy: RefCell::default(),
@@ -287,10 +290,21 @@
         }
     }
 
-    /// Returns true if the peers have had time to tell which policy they have, or if the log, whose
-    /// topic ends at `end`, was never restored, so that it holds the newest one itself.
-    pub fn knows_peers(&self, end: LogOffset) -> bool {
-        era_of(end) == 0 || boot_time().saturating_sub(self.started_at) >= PEER_VERSIONS_DELAY
+    /// Records that a peer has told which policy it has, and that it was proven to be the newest.
+    pub fn record_peer_told(&self) {
+        self.peer_told.set(true);
+    }
+
+    /// Returns the policy in force, if it may be used. The error is as of [`PolicyState::fresh`]; an
+    /// instance that has just started also waits for its peers to tell which policy they have, since
+    /// the log may have been restored from an older copy.
+    pub fn fresh_policy(&self, now: Duration) -> Result<Arc<Policy>> {
+        let waited = now.saturating_sub(self.started_at) >= PEER_VERSIONS_DELAY;
+        let mut policy = self.policy.borrow_mut();
+        if self.peer_told.get() || waited {
+            policy.settle();
+        }
+        policy.fresh(now, self.policy_age_max.get())
     }
 
     /// Records that reads of a topic fail. Peers get no records of it until a read succeeds again.
@@ -323,11 +337,7 @@
     /// Returns true if the instance may receive calls: its policy was proven to be the newest
     /// recently enough, and it is not stopping.
     pub fn is_ready(&self) -> bool {
-        let fresh = self
-            .policy
-            .borrow()
-            .fresh(boot_time(), self.policy_age_max.get());
-        !self.draining.get() && fresh.is_ok()
+        !self.draining.get() && self.fresh_policy(boot_time()).is_ok()
     }
 
     /// Applies the settings that can change at runtime, which are the maximum age of the policy and
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -262,9 +262,7 @@
     let topic = follower.topic;
     let on_event = move |event| match event {
         TopicEvent::CaughtUp { at, end } => {
-            if serving.knows_peers(end) {
-                serving.policy.borrow_mut().confirm_newest(at);
-            }
+            serving.policy.borrow_mut().confirm_newest(at);
             serving.confirm_feed_end(topic, at, end);
         }
         TopicEvent::Change(record) => {
--- a/tests/decisions/policy_state.rs
+++ b/tests/decisions/policy_state.rs
@@ -16,6 +16,7 @@
 fn state(version: u64) -> PolicyState {
     let mut state = PolicyState::default();
     assert!(state.update(Arc::new(Policy::new(version))));
+    state.settle();
     state
 }
 
@@ -87,12 +88,27 @@
     state.record_peer_version(5);
     assert!(state.update(Arc::new(Policy::new(3))));
     state.confirm_newest(seconds(10));
+    state.settle();
     assert!(state.fresh(seconds(10), AGE_MAX).is_err());
     assert!(state.is_behind());
     assert!(state.adopt(Arc::new(Policy::new(5))));
     assert!(!state.is_behind());
+    state.settle();
     state.confirm_newest(seconds(11));
     assert!(state.fresh(seconds(11), AGE_MAX).is_err());
     assert!(state.confirm_by_peer(5, seconds(9)));
     assert!(state.fresh(seconds(11), AGE_MAX).is_ok());
 }
+
+#[test]
+fn policy_is_not_fresh_before_the_peers_have_had_time_to_tell_theirs() {
+    let mut state = PolicyState::default();
+    assert!(state.update(Arc::new(Policy::new(3))));
+    state.confirm_newest(seconds(10));
+    assert!(state.fresh(seconds(10), AGE_MAX).is_err());
+    state.settle();
+    assert!(state.fresh(seconds(10), AGE_MAX).is_ok());
+    // An edit that a peer has read first does not stop calls.
+    state.record_peer_version(4);
+    assert!(state.fresh(seconds(11), AGE_MAX).is_ok());
+}
