Report no usage window twice after the store was restored

Cause: the reports and the lease are records of the store. A restore loses the newest ones; the next holder took an older report for the last one, and a lease record of a copy for the present holder's or, of its own earlier process, for nobody's.

Change: records carry the era in which they were appended. A lease record of an earlier era counts as another holder's, so that everyone waits for its full time; an instance that does not hold the lease leaves out the windows whose report may have been sent when it first reads an era without a report; what is known to be reported never goes back.

--- a/src/duties.rs
+++ b/src/duties.rs
@@ -5,7 +5,8 @@
 //!
 //! A report is appended to the duty topic, a topic of the log service, before it is sent. The next
 //! holder of the lease sends the last report of the topic again with the same counts, and continues
-//! from there.
+//! from there. If the log was restored from an older copy, later reports may have been sent and lost;
+//! windows whose report may have been sent are then left out by all but their sender.
 
 use super::*;
 
@@ -42,6 +43,8 @@
 
 #[derive(Debug, Default)]
 struct DutyState {
+    /// Era of the log at the last listing of the topic; `None` before the first.
+    era: Option<LogEra>,
     lease: Lease,
     /// Report that is in the duty topic but not yet known to have been accepted by the platform.
     pending: Option<(UsageWindow, UsageCounts)>,
@@ -133,6 +136,7 @@
     ) -> Result<bool> {
         let record = wire::DutyRecord {
             entry: Some(entry),
+            era: era_of(at),
             holder: self.serving.settings.instance.to_string(),
             life: self.serving.life,
         };
@@ -154,22 +158,53 @@
 
     async fn read_newest(&self) -> Result {
         let page = self.log.newest(DUTIES_TOPIC, None).await?;
-        let mut holder = LeaseHolder::Nobody;
+        let era = era_of(page.end);
+        // Without a record of this era, one may have been lost with the end of the topic.
+        let may_be_lost = era > 0 && !self.serving.settings.first_start;
+        let mut holder = match may_be_lost {
+            true => LeaseHolder::Other,
+            false => LeaseHolder::Nobody,
+        };
+        let mut usage_may_be_lost = may_be_lost;
         for item in &page.items {
             let Some(record) = decode_record(item) else {
                 continue;
             };
+            let is_of_era = record.era == era;
             match record.entry {
-                Some(wire::duty_record::Entry::Lease(_)) => holder = self.holder_of(&record),
-                Some(wire::duty_record::Entry::Usage(usage)) => self.observe_usage(usage),
+                Some(wire::duty_record::Entry::Lease(_)) if is_of_era => {
+                    holder = self.holder_of(&record);
+                }
+                Some(wire::duty_record::Entry::Lease(_)) => holder = LeaseHolder::Other,
+                Some(wire::duty_record::Entry::Usage(usage)) => {
+                    usage_may_be_lost = !is_of_era;
+                    self.observe_usage(usage);
+                }
                 None => {}
             }
         }
+        if self.state.borrow().era != Some(era) {
+            self.enter_era(era, usage_may_be_lost);
+        }
         let lease = &mut self.state.borrow_mut().lease;
         lease.observe_newest(boot_time(), page.end, holder);
         Ok(())
     }
 
+    /// Records that the topic was read for the first time in an era of the log. If reports may have
+    /// been lost, the windows whose report another holder may have sent by now are left out; from
+    /// now on, the topic shows all reports.
+    fn enter_era(&self, era: LogEra, usage_may_be_lost: bool) {
+        let is_holder = self.fencing_token().is_some();
+        let window = self.serving.usage_window_before(REPORT_DELAY);
+        let state = &mut self.state.borrow_mut();
+        state.era = Some(era);
+        if usage_may_be_lost && !is_holder && state.reported < Some(window) {
+            info!("duty usage left out until window={window} era={era}: reports may be lost");
+            state.reported = Some(window);
+        }
+    }
+
     async fn read_records(&self, from: LogOffset, wait: Duration) -> Result {
         let records = match self.log.read(DUTIES_TOPIC, from, wait).await? {
             TopicRead::Records { records, .. } => records,
@@ -214,8 +249,11 @@
     fn observe_usage(&self, usage: wire::UsageWindowCounts) {
         let (window, counts) = decode_usage(usage);
         let state = &mut self.state.borrow_mut();
-        state.reported = Some(window);
-        state.pending = Some((window, counts));
+        // A restored log may hold an older report than one that was seen before.
+        if Some(window) >= state.reported {
+            state.reported = Some(window);
+            state.pending = Some((window, counts));
+        }
     }
 
     async fn run_duties(&self) {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -7,6 +7,9 @@
 //! holder counts the lease from the start of its last append; the others count it from when they
 //! read that record, which is later. All use the clock that also advances while a machine is
 //! suspended. The topic also contains the usage reports that the holder appends.
+//!
+//! When the log is restored from an older copy, the newest lease record may be lost, so that anyone
+//! may hold the lease. A record of an earlier era therefore counts as one of another holder.
 
 use super::*;
 
@@ -55,8 +58,8 @@
 pub enum LeaseHolder {
     /// There is no lease record, or the newest one is of an earlier process of this instance.
     Nobody,
-    /// Another instance. It may still act, so its lease is assumed to run for its full duration
-    /// from now.
+    /// Another instance, or one whose record may have been lost in a restore of the log. It may still
+    /// act, so its lease is assumed to run for its full duration from now.
     Other,
     /// This process of this instance; the answer to the append of that record may have been lost.
     Own,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -191,6 +191,7 @@
 use crate::log_client::LogRead;
 use crate::log_client::READ_WAIT;
 use crate::log_client::TABLE_STREAM;
+use crate::log_era::LogEra;
 use crate::log_era::era_of;
 use crate::log_queue::LogQueue;
 use crate::logging::start_daemon_logging;
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -353,6 +353,12 @@
         self.wall_clock.borrow().unix(boot_time())
     }
 
+    /// Returns the last usage window that ended at least `delay` ago.
+    pub fn usage_window_before(&self, delay: Duration) -> UsageWindow {
+        let at = self.unix_now().saturating_sub(delay);
+        window_of(at, self.settings.usage_window).saturating_sub(1)
+    }
+
     /// Returns the usage window of a call that begins to run now.
     pub fn usage_window_now(&self) -> UsageWindow {
         window_of(self.unix_now(), self.settings.usage_window)
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -707,6 +707,10 @@
     pub holder: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub life: u64,
+    /// Era of the log in which the record was appended. One of an earlier era is from a copy, and later
+    /// records may have been lost.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
     #[prost(oneof = "duty_record::Entry", tags = "3, 4")]
     pub entry: ::core::option::Option<duty_record::Entry>,
 }
