Keep what servers say in their answers: leaving, and no calls for a while

Cause: nothing read Server-Leaving, so that a server whose record was still ready got calls after it had said that it leaves (DRAIN), or the Retry-After of a 503, so that a server which wanted no calls got them again at once (BUDGET).

Change: an answer that is the server's own marks it as leaving until it restarts; instances tell each other for 6 s, 24 servers a digest, and not again what they have only heard. A 503 with Retry-After keeps this instance's calls from the server for that time, an hour at most. If no server takes calls, the caller is refused at once with servers_paused and the time until the first does. Operators: GET and DELETE /notices.

Pauses and news are bounded by three decisions on the fleet.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -71,6 +71,13 @@
     /// attempt.
     fn build_request(&self, call: &CallHead, attempt: AttemptHead<'_>) -> RequestHead;
 
+    /// Returns true if the response says that its server is leaving.
+    fn is_leaving(&self, head: &ResponseHead) -> bool;
+
+    /// Returns the time for which the server wants no further calls from this instance, if the
+    /// response refuses the call and names one.
+    fn pause(&self, head: &ResponseHead) -> Option<Duration>;
+
     /// Returns the calls per second that the server takes from all instances together, if the
     /// response names such a limit. It is in force as long as the server's responses name it.
     fn limit_per_s(&self, head: &ResponseHead) -> Option<f64>;
--- a/src/error.rs
+++ b/src/error.rs
@@ -254,6 +254,16 @@
         /// Time in milliseconds until a retry can succeed.
         retry_after_ms: u64,
     },
+    /// The servers have refused calls and want no further ones from this instance for a while.
+    #[snafu(display(
+        "the servers of {subject} take no calls at present; retry after {retry_after_ms} ms"
+    ))]
+    ServersPaused {
+        /// Service that the request was addressed to.
+        subject: Subject,
+        /// Time in milliseconds until the first of them takes calls again.
+        retry_after_ms: u64,
+    },
     /// The table has changed since the version on which the edit is based.
     #[snafu(display(
         "conflict: the table is at version {current}, the edit is based on version {base}; \
@@ -371,6 +381,7 @@
             Self::ResumeMismatch => (409, "resume_mismatch"),
             Self::RetryBudgetSpent { .. } => (503, "retry_budget_spent"),
             Self::ServerLimits { .. } => (503, "server_limits"),
+            Self::ServersPaused { .. } => (503, "servers_paused"),
             Self::TableMissing => (503, "table_missing"),
             Self::TableStale { .. } => (503, "table_stale"),
             Self::UnknownKey => (401, "invalid_api_key"),
@@ -397,7 +408,8 @@
             | Self::NoBackendServer { retry_after_ms, .. }
             | Self::Overloaded { retry_after_ms, .. }
             | Self::RetryBudgetSpent { retry_after_ms, .. }
-            | Self::ServerLimits { retry_after_ms, .. } => {
+            | Self::ServerLimits { retry_after_ms, .. }
+            | Self::ServersPaused { retry_after_ms, .. } => {
                 Some(Duration::from_millis(*retry_after_ms))
             }
             Self::CallInProgress
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -296,6 +296,7 @@
         self.answer = AnswerProgress::Head;
         self.record_response_time(&attempt, sent_at.elapsed());
         self.record_limit(&attempt, &response.head, sent_at.elapsed());
+        self.record_notice(&attempt, &response.head);
         self.handle_response(attempt, response).await
     }
 
@@ -389,6 +390,29 @@
         }
     }
 
+    /// Records what the head of a response says about its server: that it is leaving, or wants no
+    /// further calls for a while. A response that may be another server's or altered says nothing.
+    fn record_notice(&self, attempt: &Attempt, head: &ResponseHead) {
+        let dialect = &self.serving.dialect;
+        match dialect.classify_response(head) {
+            ResponseKind::Executed | ResponseKind::NotRun => {}
+            ResponseKind::Untrusted | ResponseKind::WrongServer => return,
+        }
+        let (now, server) = (boot_time(), &attempt.placed.server);
+        let request = &self.call.request_id;
+        let mut fleet = self.serving.fleet.borrow_mut();
+        if dialect.is_leaving(head) && fleet.record_leaving(now, server) {
+            info!("server id={server} by={request} leaving=true");
+        }
+        if let Some(pause) = dialect.pause(head) {
+            fleet.record_pause(now, server, pause);
+            info!(
+                "pause server={server} by={request} ms={}",
+                pause.as_millis()
+            );
+        }
+    }
+
     /// Returns the parts of the request that crash reports name.
     fn suspect_parts(&self) -> SuspectParts {
         let mut parts = self.shared_parts();
@@ -722,10 +746,24 @@
     }
 
     fn refused_error(&self) -> Error {
-        match self.may_have_run {
-            true => self.lost_error("no further server accepted the call".to_owned()),
-            false => Error::Overloaded {
-                subject: Subject::Service(self.service.clone()),
+        if self.may_have_run {
+            return self.lost_error("no further server accepted the call".to_owned());
+        }
+        let query = PlacementQuery {
+            prompt: self.call.prompt.as_ref(),
+            service: &self.service,
+            suspect: false,
+            tried: &[],
+        };
+        let wait = self.serving.fleet.borrow().pause_wait(boot_time(), &query);
+        let subject = Subject::Service(self.service.clone());
+        match wait {
+            Some(wait) => Error::ServersPaused {
+                subject,
+                retry_after_ms: wait.as_millis() as u64 + 1,
+            },
+            None => Error::Overloaded {
+                subject,
                 retry_after_ms: REFUSED_RETRY_AFTER.as_millis() as u64,
             },
         }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -98,6 +98,8 @@
     failure_streak: u32,
     /// Limit on the calls that it takes.
     pub(crate) limit: ServerLimit,
+    /// What its answers have said about it.
+    pub(crate) notice: ServerNotice,
     prefill_until: Duration,
     prefixes: PrefixEstimate,
     /// Latest record of the process; `leaving` never returns to false.
@@ -118,6 +120,7 @@
             ejected_until: Duration::ZERO,
             failure_streak: 0,
             limit: ServerLimit::default(),
+            notice: ServerNotice::default(),
             prefill_until: Duration::ZERO,
             prefixes: PrefixEstimate::new(CACHED_PARTS_MAX),
             record,
@@ -128,6 +131,11 @@
         }
     }
 
+    /// Returns true if its record or one of its answers says that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.record.leaving || self.notice.is_leaving()
+    }
+
     fn eject(&mut self, now: Duration, doublings: u32) {
         let duration = (EJECTION_INITIAL * (1 << doublings.min(4))).min(EJECTION_MAX);
         self.ejected_until = now + duration;
@@ -487,7 +495,7 @@
             }
             let key = (record.data_centre.clone(), record.spot);
             let count = view.counts.entry(key).or_default();
-            match record.leaving {
+            match server.is_leaving() {
                 true => count.leaving += 1,
                 false => {
                     count.ready += 1;
@@ -502,8 +510,9 @@
     /// Chooses the server with the lowest cost for an attempt and adds the attempt to those that
     /// run there, until [`end_attempt`](Self::end_attempt) is called. Fails with
     /// [`Error::NoBackendServer`] if every server of the service is leaving, was tried before, or
-    /// already runs a suspect while this call is one too, and with [`Error::ServerLimits`] if there
-    /// are others, whose limits leave this instance no call.
+    /// already runs a suspect while this call is one too, with [`Error::ServersPaused`] if the others
+    /// want no calls from this instance for a while, and with [`Error::ServerLimits`] if their limits
+    /// leave this instance no call.
     pub fn place(&mut self, now: Duration, query: PlacementQuery<'_>) -> Result<PlacedAttempt> {
         let prefixes = query.prompt.map(Prompt::prefixes).unwrap_or_default();
         // If no server is known to be healthy, an unhealthy one is better than none.
@@ -544,8 +553,9 @@
     /// Identifies a crash of a server's present process; `None` if the server is leaving or not
     /// registered.
     pub fn crash_id(&self, id: &str) -> Option<CrashId> {
-        let record = &self.servers.get(id)?.record;
-        (!record.leaving).then(|| CrashReport::crash_id(id, record.created_ms))
+        let server = self.servers.get(id)?;
+        let created_ms = server.record.created_ms;
+        (!server.is_leaving()).then(|| CrashReport::crash_id(id, created_ms))
     }
 
     /// Returns true if a server has begun to answer any call of this instance since `since`.
@@ -706,6 +716,12 @@
     }
 
     fn no_server_error(&self, now: Duration, query: &PlacementQuery<'_>) -> Error {
+        if let Some(wait) = self.pause_wait(now, query) {
+            return Error::ServersPaused {
+                subject: Subject::Service(query.service.clone()),
+                retry_after_ms: wait.as_millis() as u64 + 1,
+            };
+        }
         if let Some(wait) = self.limit_wait(now, query) {
             return Error::ServerLimits {
                 subject: Subject::Service(query.service.clone()),
@@ -719,8 +735,8 @@
         }
     }
 
-    /// Returns true if the call may be sent to a server now: it could run it, and the server's limit
-    /// leaves this instance a call; with `healthy_only`, it must be healthy too.
+    /// Returns true if the call may be sent to a server now: it could run it, and the server takes
+    /// calls and its limit leaves this instance one; with `healthy_only`, it must be healthy too.
     fn is_eligible(
         &self,
         server: &FleetServer,
@@ -730,13 +746,14 @@
     ) -> bool {
         self.could_run(server, query)
             && server.limit.wait(now) == Some(Duration::ZERO)
+            && server.notice.pause_left(now).is_zero()
             && (!healthy_only || self.is_healthy(server, now))
     }
 
     /// Returns true if a server runs the service of the call, is not leaving, was not tried before,
     /// and, if the call is a suspect, runs no other suspect of this instance.
     pub(crate) fn could_run(&self, server: &FleetServer, query: &PlacementQuery<'_>) -> bool {
-        let accepts_work = !server.record.leaving || is_disabled(Safeguard::Leaving);
+        let accepts_work = !server.is_leaving() || is_disabled(Safeguard::Leaving);
         server.record.service == *query.service
             && accepts_work
             && !query.tried.contains(&server.record.id)
--- a/src/front.rs
+++ b/src/front.rs
@@ -180,6 +180,9 @@
         path if path == "/limits" || path.starts_with("/limits/") => {
             serve_limits(serving, request.method(), path)
         }
+        path if path == "/notices" || path.starts_with("/notices/") => {
+            serve_notices(serving, request.method(), path)
+        }
         _ if serving.is_ready() => Response::ok().map_into_boxed_body(),
         _ => Response::new(StatusCode::SERVICE_UNAVAILABLE).map_into_boxed_body(),
     }
@@ -234,6 +237,31 @@
     }
 }
 
+/// Lists what servers have said about themselves in answers (`GET /notices`), or forgets it for one
+/// at this instance, until its next answer (`DELETE /notices/SERVER`).
+fn serve_notices(serving: &ServingState, method: &Method, path: &str) -> Response<BoxBody> {
+    let now = boot_time();
+    let mut fleet = serving.fleet.borrow_mut();
+    match (method, path.strip_prefix("/notices/")) {
+        (&Method::GET, None) => {
+            let notices = fleet.notices_in_force(now);
+            json_response(StatusCode::OK, &serde_json::json!({ "notices": notices }))
+        }
+        (&Method::DELETE, Some(server)) if fleet.release_notice(now, server) => {
+            info!("notice server={server} by=operator released");
+            json_response(StatusCode::OK, &serde_json::json!({ "released": true }))
+        }
+        (&Method::DELETE, Some(_)) => status_error(
+            StatusCode::NOT_FOUND,
+            "this server has said nothing; GET /notices lists those that have",
+        ),
+        _ => status_error(
+            StatusCode::BAD_REQUEST,
+            "send GET /notices, or DELETE /notices/SERVER with a server as it lists it",
+        ),
+    }
+}
+
 fn status_error(status: StatusCode, remedy: &str) -> Response<BoxBody> {
     json_response(status, &serde_json::json!({ "error": remedy }))
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -118,6 +118,7 @@
     let limits = digest.limits.into_iter();
     let limits = limits.map(|report| report.received(digest.sent, now));
     serving.merge_limits(now, peer, limits.collect());
+    serving.merge_leaving(peer, digest.leaving_servers);
     let mut fleet = serving.fleet.borrow_mut();
     fleet.update_peer_loads(now, peer, &digest.loads);
     fleet.update_peer_rates(now, peer, digest.prefill_rates);
@@ -155,6 +156,7 @@
     let policy = serving.policy.borrow();
     let mut fleet = serving.fleet.borrow_mut();
     let limits = fleet.limits_to_send(now, round);
+    let leaving_servers = fleet.leaving_to_send(now, round);
     let mut loads = HashMap::new();
     for server in fleet.servers() {
         let load = server.own_load(now);
@@ -169,6 +171,7 @@
         echoed: None,
         instance: serving.settings.instance.clone(),
         limits,
+        leaving_servers,
         leaving: serving.draining.get(),
         life: serving.life,
         loads,
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -24,6 +24,8 @@
     pub instance: InstanceName,
     /// True once the sender has started to stop.
     pub leaving: bool,
+    /// Servers whose answers to the sender have said within the last seconds that they are leaving.
+    pub leaving_servers: Vec<LeavingServer>,
     /// Start time of the sender's process in milliseconds since 1970; distinguishes it from earlier
     /// processes of the same instance.
     pub life: u64,
@@ -99,6 +101,7 @@
             echoed_ms: digest.echoed.map_or(0, |echoed| echoed.as_millis() as u64),
             instance: digest.instance.to_string(),
             leaving: digest.leaving,
+            leaving_servers: digest.leaving_servers.iter().map(Into::into).collect(),
             life: digest.life,
             limits: limits.collect(),
             loads: loads.collect(),
@@ -143,6 +146,7 @@
             echoed: (wire.echoed_ms > 0).then(|| millis(wire.echoed_ms)),
             instance: wire.instance.into(),
             leaving: wire.leaving,
+            leaving_servers: wire.leaving_servers.into_iter().map(Into::into).collect(),
             life: wire.life,
             limits: limits
                 .map(|wire| LimitReport::from_wire(sent, wire))
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -307,6 +307,14 @@
         policy.fresh(now, self.policy_age_max.get())
     }
 
+    /// Applies a peer's news of servers that are leaving.
+    pub fn merge_leaving(&self, peer: &InstanceName, leaving: Vec<LeavingServer>) {
+        let mut fleet = self.fleet.borrow_mut();
+        for server in fleet.merge_leaving(leaving) {
+            info!("server id={server} by={peer} leaving=true");
+        }
+    }
+
     /// Records that reads of a topic fail. Peers get no records of it until a read succeeds again.
     pub fn mark_feed_lost(&self, topic: &'static str) {
         let mut feeds = self.feeds.borrow_mut();
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -620,6 +620,18 @@
     pub crash_reports: ::prost::alloc::vec::Vec<CrashReport>,
     #[prost(message, repeated, tag = "15")]
     pub limits: ::prost::alloc::vec::Vec<LimitReport>,
+    /// Servers whose answers to the sender have said within the last seconds that they are leaving.
+    #[prost(message, repeated, tag = "16")]
+    pub leaving_servers: ::prost::alloc::vec::Vec<LeavingServer>,
+}
+/// Process of a backend server that is leaving.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LeavingServer {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Start time of the process in milliseconds since 1970.
+    #[prost(uint64, tag = "2")]
+    pub created_ms: u64,
 }
 /// What the last answer of a backend server to the sender said about the server's limit.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -11,9 +11,11 @@
 use ebonyspread::fleet::PlacedAttempt;
 use ebonyspread::fleet::PlacementQuery;
 use ebonyspread::fleet::ServerRecord;
+use ebonyspread::fleet_notices::LEAVING_PER_DIGEST_MAX;
 use ebonyspread::policy::ServicePolicy;
 use ebonyspread::prompt::Prompt;
 use ebonyspread::prompt::PromptPart;
+use ebonyspread::server_notice::PAUSE_MAX;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -305,3 +307,57 @@
     }
     assert!(rates[1] > rates[0] * 1.5, "{rates:?}");
 }
+
+// All servers of a data centre are emptied at once.
+#[test]
+fn news_of_leaving_servers_takes_bounded_bytes_and_reaches_peers_in_turn() {
+    let mut fleet = fleet("dc-0", 100);
+    let mut peer = self::fleet("dc-1", 100);
+    for index in 0..100 {
+        assert!(fleet.record_leaving(NOW, &format!("server-{index}")));
+        assert!(!fleet.record_leaving(NOW, &format!("server-{index}")));
+    }
+    let mut told = 0;
+    for round in 0..10 {
+        let news = fleet.leaving_to_send(NOW, round);
+        assert!(news.len() <= LEAVING_PER_DIGEST_MAX);
+        told += peer.merge_leaving(news).len();
+    }
+    assert_eq!(told, 100);
+    // Peers do not pass on what they have only heard.
+    assert!(peer.leaving_to_send(NOW, 0).is_empty());
+    assert!(
+        fleet
+            .leaving_to_send(NOW + Duration::from_secs(60), 0)
+            .is_empty()
+    );
+}
+
+#[test]
+fn new_process_of_a_server_that_left_gets_calls() {
+    let mut fleet = fleet("dc-0", 1);
+    let mut peer = self::fleet("dc-0", 1);
+    fleet.record_leaving(NOW, "server-0");
+    let news = fleet.leaving_to_send(NOW, 0);
+    for fleet in [&mut fleet, &mut peer] {
+        fleet.report(
+            NOW,
+            ServerRecord {
+                created_ms: 2,
+                ..record(0)
+            },
+        );
+    }
+    assert!(peer.merge_leaving(news).is_empty());
+    assert!(fleet.notices_in_force(NOW).is_empty());
+    place(&mut fleet, NOW, &prompt(1, 2), &[]);
+}
+
+#[test]
+fn pause_without_end_is_limited() {
+    let mut fleet = fleet("dc-0", 1);
+    fleet.record_pause(NOW, "server-0", Duration::from_secs(1 << 40));
+    assert_eq!(fleet.notices_in_force(NOW).len(), 1);
+    assert!(fleet.notices_in_force(NOW + PAUSE_MAX).is_empty());
+    place(&mut fleet, NOW + PAUSE_MAX, &prompt(1, 2), &[]);
+}
