Do not take a refusal that names no call for the answer to a later one

What other operators saw: a server wrote an earlier refusal again on a kept connection; callers were told not-run for calls that ran, or they ran twice.

Cause: here, a response with the id of another call is skipped, but one without an id counted as the waiting call's, since servers may leave the id out of refusals. On a connection that has served a call, it may be a copy of that one's.

Change: a response that names no call counts on the first call of a connection only; on a kept one the outcome is unknown and the connection is closed.

--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -138,6 +138,9 @@
 pub enum ResponseOwner {
     /// The call that waits on the connection.
     ThisCall,
+    /// The response names no call. It is the waiting call's if that is the first on its connection;
+    /// otherwise it may also be a second copy of the response to an earlier one.
+    Unnamed,
     /// Another call, whose response is late or duplicated.
     OtherCall,
 }
@@ -145,6 +148,8 @@
 struct Connection {
     buffer: BytesMut,
     codec: ClientCodec,
+    /// True if the connection has served a call before the current one.
+    has_served: bool,
     /// Number of informational heads that the current call has read.
     informational_heads: u32,
     /// Number of bytes received since the current call was sent or, once its body is read, since
@@ -324,6 +329,7 @@
         Ok(Connection {
             buffer: BytesMut::with_capacity(READ_BUFFER_BYTES),
             codec: ClientCodec::new(self.config.clone()),
+            has_served: false,
             informational_heads: 0,
             received_bytes: 0,
             idle_since: Instant::now(),
@@ -336,6 +342,7 @@
         if connection.idle_timeout.is_zero() || !connection.buffer.is_empty() {
             return;
         }
+        connection.has_served = true;
         connection.idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(target.clone()).or_default();
@@ -413,6 +420,12 @@
             let framing = body_framing(&head, &self.codec);
             match owner_of(&head) {
                 ResponseOwner::ThisCall => return Ok((head, framing)),
+                ResponseOwner::Unnamed if !self.has_served => return Ok((head, framing)),
+                ResponseOwner::Unnamed => {
+                    return Err(ServerCallError::maybe_run(
+                        "response on a kept connection names no call; check the server",
+                    ));
+                }
                 ResponseOwner::OtherCall => self.skip_body(config, framing).await?,
             }
         }
