Do not continue a stream with an answer of another content type

What other operators saw: after a stream broke off, the next server answered with an error, whose text stood in the middle of the stream.

Cause: here, an error status is not forwarded, but any answer with status 200 continued the stream, also a text that is no event stream.

Change: the content type has to be that of the answer that the caller got; otherwise the stream ends as broken.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -21,6 +21,7 @@
 use actix_http::body::BoxBody;
 use actix_http::body::MessageBody;
 use actix_http::body::SizedStream;
+use actix_http::header::CONTENT_TYPE;
 use tokio::time::Instant as TokioInstant;
 use tokio::time::timeout_at;
 
@@ -191,7 +192,8 @@
                 let first_event = self.received_at.elapsed();
                 self.serving.metrics.first_token(first_event);
                 let head = response.head;
-                let stream = Relay::start(self, attempt, response.body);
+                let content_type = head.headers.get(CONTENT_TYPE).cloned();
+                let stream = Relay::start(self, attempt, content_type, response.body);
                 respond(&head, BodyStream::new(stream).boxed())
             }
             Err(error) => {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -4,6 +4,8 @@
 
 use super::*;
 
+use actix_http::header::CONTENT_TYPE;
+use actix_http::header::HeaderValue;
 use futures_util::stream::LocalBoxStream;
 use tokio::time::Instant as TokioInstant;
 use tokio::time::timeout_at;
@@ -24,6 +26,8 @@
     /// Data centre of the server that sends the stream. If it becomes unreachable, a resumable
     /// stream is resumed on another server.
     centre: DataCentreName,
+    /// Content type of the caller's response; a body of another type does not continue it.
+    content_type: Option<HeaderValue>,
     ended: bool,
     events: SseParser,
     exchange: Exchange,
@@ -49,10 +53,11 @@
 
 impl Relay {
     /// Returns the body of the caller's response: the events of `body`, continued from another
-    /// server if it breaks. The call counts as in flight until the returned stream is dropped.
+    /// server, with the same content type, if it breaks. The call counts as in flight until the returned stream is dropped.
     pub(crate) fn start(
         exchange: Exchange,
         attempt: Attempt,
+        content_type: Option<HeaderValue>,
         body: ServerResponseBody,
     ) -> LocalBoxStream<'static, Result<Bytes>> {
         let server = attempt.placed.server.clone();
@@ -63,6 +68,7 @@
             body,
             centre: attempt.placed.data_centre.clone(),
             attempt: Some(attempt),
+            content_type,
             ended: false,
             events: SseParser::with_reservation(reservation),
             exchange,
@@ -242,6 +248,13 @@
         self.abandon_server(&reason);
         let last_event_id = self.last_event_id.clone();
         match self.exchange.run_attempts(last_event_id.as_deref()).await? {
+            AttemptResponse::Stream(mut attempt, response)
+                if response.head.headers.get(CONTENT_TYPE) != self.content_type.as_ref() =>
+            {
+                attempt.outcome = AttemptOutcome::Broken;
+                let reason = "answer of the next server has another content type".to_owned();
+                Err(self.exchange.lost_error(reason))
+            }
             AttemptResponse::Stream(attempt, response) => {
                 self.centre = attempt.placed.data_centre.clone();
                 self.server = attempt.placed.server.clone();
