Keep claims and the table when the own interface's log is restored

What callers would see: an order whose claim was lost runs a second time at an instance that starts later; orders of running instances wait until the log has grown past the offset that they know; edits are not in force.

Cause: offsets of the log service were taken for the identity of records, as on the platform's edge.

Change: the log service names the era of each record, which becomes part of its offset. From the first record of a new era on, every reader refuses keys that may have been claimed before it (as for claims that retention dropped, so for 10 minutes), except those that an instance generated for the call. Records that have not been read back are appended again.

--- a/bench/src/claims.rs
+++ b/bench/src/claims.rs
@@ -57,6 +57,7 @@
 
 fn records() -> [ClaimRecord; 2] {
     let claim = Claim {
+        is_generated: false,
         body_hash: random(),
         holder: "centre-4-entry-124".into(),
         key: random(),
--- a/soak/src/orders.rs
+++ b/soak/src/orders.rs
@@ -321,6 +321,7 @@
         let order_state = &mut self.orders[order];
         order_state.nonces.insert(nonce);
         let claim = Claim {
+            is_generated: false,
             body_hash: u64::from(is_other_body),
             holder: format!("instance-{instance}").into(),
             key: order_state.key,
--- a/src/claim_actor.rs
+++ b/src/claim_actor.rs
@@ -197,10 +197,18 @@
 
     fn handle(&mut self, message: PartitionRead, context: &mut Self::Context) {
         let PartitionRead { partition, read } = message;
+        let now = self.now();
         let Some(batcher) = self.batchers.get_mut(&partition) else {
             return;
         };
         batcher.skip_to(read.start, read.first_time_ms());
+        if let Some(tail) = read.restored_tail(batcher.next_offset()) {
+            warn!(
+                "claims partition={partition} log restored era={}",
+                era_of(tail)
+            );
+            batcher.enter_era(now, tail);
+        }
         let mut answers = Vec::new();
         for entry in &read.entries {
             let record = entry.record.clone();
--- a/src/claim_batcher.rs
+++ b/src/claim_batcher.rs
@@ -146,6 +146,15 @@
         self.index.skip_to(start, first_time_ms);
     }
 
+    /// Goes on at the tail of a log that was restored, and appends the records again that have not
+    /// been read back, since they may be lost.
+    pub fn enter_era(&mut self, now: Duration, tail: LogOffset) {
+        self.index.enter_era(tail);
+        if !self.append_in_flight {
+            self.finish_append(now, false);
+        }
+    }
+
     /// Returns true once the stream has been read to its tail, as reported by
     /// [`Self::set_caught_up`]; before that, nothing is appended.
     pub fn is_caught_up(&self) -> bool {
--- a/src/claim_index.rs
+++ b/src/claim_index.rs
@@ -4,6 +4,9 @@
 //!
 //! The claim with the lowest offset wins its key until it is released. Every reader of the same
 //! records reaches the same verdicts, so any instance may read a partition and answer for it.
+//!
+//! When the log is restored from an older copy, the newest claims are lost. From the first record of
+//! the new era on, keys that may have been claimed before are not granted, by any reader.
 
 use super::*;
 
@@ -25,6 +28,8 @@
 /// A claim, as written by its holder.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Claim {
+    /// True if this program generated the key for the call, so that no other call has it.
+    pub is_generated: bool,
     /// Hash of the call's method, path and body.
     pub body_hash: u64,
     /// Instance that wrote the claim; no other may send the call under it.
@@ -145,6 +150,8 @@
     /// Log time, in milliseconds since 1970, from which on the index has read every claim; 0 if no
     /// record was skipped.
     complete_since_ms: u64,
+    /// Era of the last record.
+    era: LogEra,
     keys: HashMap<KeyHash, KeyEntry>,
     next_offset: LogOffset,
     now_ms: u64,
@@ -160,6 +167,7 @@
     pub fn new(window: Duration) -> Self {
         Self {
             complete_since_ms: 0,
+            era: 0,
             keys: HashMap::new(),
             next_offset: 0,
             now_ms: 0,
@@ -168,7 +176,13 @@
         }
     }
 
-    /// Returns the offset of the next record to read, the only one that [`Self::apply`] accepts.
+    /// Goes on at the tail of a log that was restored and holds no record after the next one.
+    pub fn enter_era(&mut self, tail: LogOffset) {
+        self.next_offset = self.next_offset.max(tail);
+    }
+
+    /// Returns the offset of the next record to read, the only one of its era that [`Self::apply`]
+    /// accepts.
     pub fn next_offset(&self) -> LogOffset {
         self.next_offset
     }
@@ -201,6 +215,12 @@
         time_ms: u64,
         record: &ClaimRecord,
     ) -> Result<Verdict> {
+        if era_of(offset) > self.era {
+            // Claims between the end of the copy and this record may be lost.
+            self.era = era_of(offset);
+            self.next_offset = offset;
+            self.complete_since_ms = self.complete_since_ms.max(time_ms);
+        }
         if offset != self.next_offset {
             return Err(Error::Invariant {
                 invariant: "claim records are folded in order without gaps",
@@ -235,7 +255,7 @@
     }
 
     fn apply_claim(&mut self, offset: LogOffset, claim: &Claim) -> Verdict {
-        if !self.is_key_time_valid(claim.key_time_ms) && !is_disabled(Safeguard::KeyWindow) {
+        if !self.is_key_time_valid(claim) && !is_disabled(Safeguard::KeyWindow) {
             return Verdict::KeyAge;
         }
         let Some(entry) = self.keys.get_mut(&claim.key) else {
@@ -307,11 +327,15 @@
 
     /// Returns true if the key's timestamp is neither too old nor too far ahead, and the index has
     /// every claim that the key can have. Such claims have log times of at least `key_time -
-    /// KEY_SKEW_MAX`, so the index must be complete from then on.
-    fn is_key_time_valid(&self, key_time_ms: u64) -> bool {
+    /// KEY_SKEW_MAX`, so the index must be complete from then on, unless the key was generated for
+    /// this claim.
+    fn is_key_time_valid(&self, claim: &Claim) -> bool {
+        let key_time_ms = claim.key_time_ms;
         let ahead_ms = KEY_SKEW_MAX.as_millis() as u64;
         let first_claim_ms = key_time_ms.saturating_sub(ahead_ms);
-        let complete = self.complete_since_ms == 0 || first_claim_ms >= self.complete_since_ms;
+        let complete = claim.is_generated
+            || self.complete_since_ms == 0
+            || first_claim_ms >= self.complete_since_ms;
         let not_old = key_time_ms + self.window_ms >= self.now_ms;
         let not_ahead = key_time_ms <= self.now_ms + ahead_ms;
         complete && not_old && not_ahead
--- a/src/claim_wire.rs
+++ b/src/claim_wire.rs
@@ -20,6 +20,7 @@
         let nonce = record.nonce();
         let body = match record {
             ClaimRecord::Claim(claim) => Body::Claim(wire::Claim {
+                is_generated: claim.is_generated,
                 key_hash_high,
                 key_hash_low,
                 nonce,
@@ -72,6 +73,7 @@
     fn try_from(record: wire::LogRecord) -> Result<Self> {
         match record.body {
             Some(Body::Claim(claim)) => Ok(Self::Claim(Claim {
+                is_generated: claim.is_generated,
                 body_hash: claim.body_hash,
                 holder: claim.holder.into(),
                 key: join_hash(claim.key_hash_high, claim.key_hash_low),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -194,6 +194,8 @@
 use crate::log_client::TABLE_STREAM;
 use crate::log_era::LogEra;
 use crate::log_era::era_of;
+use crate::log_era::number_of;
+use crate::log_era::offset_in;
 use crate::log_queue::LogQueue;
 use crate::logging::start_daemon_logging;
 use crate::logging::start_logging;
--- a/src/log_client.rs
+++ b/src/log_client.rs
@@ -1,5 +1,9 @@
 //! Client of the platform's log service, which stores records in streams, each record at the next
 //! offset of its stream.
+//!
+//! The log may be restored from an older copy of itself. It names the era in which each record was
+//! appended, which becomes part of the offset (see [`log_era`]): records that the copy holds keep
+//! their offsets, and those that are appended later never get one that was given out before.
 
 use super::*;
 
@@ -35,28 +39,34 @@
 
 #[derive(Deserialize)]
 struct AppendAnswer {
-    first_offset: LogOffset,
+    #[serde(default)]
+    era: LogEra,
+    first_offset: u64,
 }
 
 #[derive(Deserialize)]
 struct ReadAnswer {
+    #[serde(default)]
+    era: LogEra,
     records: Vec<ReadRecord>,
-    start: LogOffset,
-    tail: LogOffset,
+    start: u64,
+    tail: u64,
     time_ms: u64,
 }
 
 #[derive(Deserialize)]
 struct ReadRecord {
     data: String,
-    offset: LogOffset,
+    #[serde(default)]
+    era: LogEra,
+    offset: u64,
     time_ms: u64,
 }
 
 /// Record read from a stream, with what the log service added to it.
 #[derive(Debug, Clone)]
 pub struct LogEntry {
-    /// Number of the record in its stream; the first one is 0.
+    /// Offset of the record in its stream, with the era in which it was appended; the first is 0.
     pub offset: LogOffset,
     /// Decoded record; `None` if it is not valid Base64 or not a valid message.
     pub record: Option<wire::LogRecord>,
@@ -86,6 +96,13 @@
             .first()
             .map_or(self.time_ms, |entry| entry.time_ms)
     }
+
+    /// Returns the tail if the log was restored since `next`, the offset that a reader would read
+    /// next, and holds nothing after it. The reader goes on at the tail.
+    pub fn restored_tail(&self, next: LogOffset) -> Option<LogOffset> {
+        let is_restored = era_of(self.tail) > era_of(next);
+        (is_restored && self.entries.is_empty()).then_some(self.tail)
+    }
 }
 
 /// HTTP client of the log service, for use in one thread; a clone shares the connections.
@@ -121,16 +138,52 @@
                 return Err(log_error(format!("append: status {}", response.status())));
             }
             let answer: AppendAnswer = response.json().await.map_err(log_error)?;
-            Ok(answer.first_offset)
+            Ok(offset_in(answer.era, answer.first_offset))
         };
         within(APPEND_TIMEOUT, exchange).await
     }
 
     /// Reads records from offset `from` on. If there are none yet, the service waits up to `wait`
-    /// for the first.
+    /// for the first. If the log was restored since `from` was its tail, records with higher offsets
+    /// may have lower numbers; the answer then has those of them that fit, at once.
     pub async fn read(&self, stream: &str, from: LogOffset, wait: Duration) -> Result<LogRead> {
+        let mut answer = self.read_from(stream, number_of(from), wait).await?;
+        let start = offset_in(era_of(from), answer.start);
+        if answer.era > era_of(from) && number_of(from) > 0 {
+            let mut number = 0;
+            loop {
+                answer = self.read_from(stream, number, Duration::ZERO).await?;
+                let Some(last) = answer.records.last() else {
+                    break;
+                };
+                number = last.offset + 1;
+                answer
+                    .records
+                    .retain(|record| offset_in(record.era, record.offset) >= from);
+                if !answer.records.is_empty() {
+                    break;
+                }
+            }
+        }
+        let mut entries = Vec::with_capacity(answer.records.len());
+        for record in answer.records {
+            entries.push(LogEntry {
+                offset: offset_in(record.era, record.offset),
+                record: decode(&record.data),
+                time_ms: record.time_ms,
+            });
+        }
+        Ok(LogRead {
+            entries,
+            start,
+            tail: offset_in(answer.era, answer.tail),
+            time_ms: answer.time_ms,
+        })
+    }
+
+    async fn read_from(&self, stream: &str, number: u64, wait: Duration) -> Result<ReadAnswer> {
         let url = format!(
-            "{}/log/{stream}?from={from}&max={READ_MAX_RECORDS}&wait_ms={}",
+            "{}/log/{stream}?from={number}&max={READ_MAX_RECORDS}&wait_ms={}",
             self.platform_url,
             wait.as_millis()
         );
@@ -144,21 +197,7 @@
             let reading = response.json::<ReadAnswer>().limit(READ_MAX_BYTES);
             reading.await.map_err(log_error)
         };
-        let answer = within(timeout, exchange).await?;
-        let mut entries = Vec::with_capacity(answer.records.len());
-        for record in answer.records {
-            entries.push(LogEntry {
-                offset: record.offset,
-                record: decode(&record.data),
-                time_ms: record.time_ms,
-            });
-        }
-        Ok(LogRead {
-            entries,
-            start: answer.start,
-            tail: answer.tail,
-            time_ms: answer.time_ms,
-        })
+        within(timeout, exchange).await
     }
 }
 
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -197,6 +197,7 @@
     let claim = Claim {
         body_hash: request.body_hash(),
         holder: context.settings.instance.clone(),
+        is_generated: request.key.is_none(),
         key: key_hash(&request.account, &key),
         key_time_ms: key_time_ms(&key)?,
         nonce: rand::rng().next_u64(),
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -24,6 +24,9 @@
             .read(TABLE_STREAM, table_log.next_offset(), Duration::ZERO)
             .await?;
         table_log.skip_to(read.start);
+        if let Some(tail) = read.restored_tail(table_log.next_offset()) {
+            table_log.enter_era(tail);
+        }
         for entry in &read.entries {
             table_log.apply(entry);
         }
--- a/src/table_actor.rs
+++ b/src/table_actor.rs
@@ -14,6 +14,9 @@
 /// retention time divided by this.
 const SNAPSHOT_AGE_DIVISOR: u32 = 3;
 
+/// Time after a restore of the log within which an instance writes a snapshot.
+const RESTORED_SNAPSHOT_TIME: Duration = Duration::from_secs(2);
+
 /// Probability that this instance writes a due snapshot after a read, so that not all instances
 /// write one.
 const SNAPSHOT_PROBABILITY: f64 = 0.2;
@@ -142,6 +145,10 @@
         if !is_selected || !self.table_log.needs_snapshot(log_now_ms, age) {
             return;
         }
+        self.write_snapshot();
+    }
+
+    fn write_snapshot(&self) {
         let log = self.log.clone();
         let table_log = self.table_log.clone();
         actix_rt::spawn(async move {
@@ -166,6 +173,17 @@
     fn handle(&mut self, message: TableRead, context: &mut Self::Context) {
         let read = message.0;
         self.table_log.skip_to(read.start);
+        if let Some(tail) = read.restored_tail(self.table_log.next_offset()) {
+            warn!("table log restored era={}", era_of(tail));
+            self.table_log.enter_era(tail);
+            // Most instances have read the snapshot of another one by then.
+            let delay = RESTORED_SNAPSHOT_TIME.mul_f64(rand::random::<f64>());
+            context.run_later(delay, |actor, _| {
+                if actor.table_log.needs_snapshot(unix_ms(), Duration::ZERO) {
+                    actor.write_snapshot();
+                }
+            });
+        }
         for entry in &read.entries {
             if let TableEvent::Conflict { current } = self.table_log.apply(entry) {
                 info!(
--- a/src/table_log.rs
+++ b/src/table_log.rs
@@ -65,6 +65,8 @@
     next_offset: LogOffset,
     /// Records that were read while there was no base to apply them to.
     pending: Vec<LogEntry>,
+    /// Last snapshot and its offset, which takes effect if it is confirmed and newer than `rows`.
+    last_snapshot: Option<(LogOffset, wire::TableSnapshot)>,
     rows: TableRows,
     version: TableVersion,
 }
@@ -109,6 +111,13 @@
         self.pending.clear();
     }
 
+    /// Goes on at the tail of a log that was restored from an older copy. The version in force stays;
+    /// a snapshot is due, since the log may have lost edits of it.
+    pub fn enter_era(&mut self, tail: LogOffset) {
+        self.next_offset = self.next_offset.max(tail);
+        self.base_time_ms = 0;
+    }
+
     /// Applies one record and returns its effect. Records must be passed in the order of their
     /// offsets; one that was applied before has no effect.
     pub fn apply(&mut self, entry: &LogEntry) -> TableEvent {
@@ -135,7 +144,10 @@
         self.rows = rows;
         // The version includes all records before offset `version`. Later edits can be checked if
         // every record from there on is in `pending` or still to be read.
-        let pending_from = self.next_offset - self.pending.len() as LogOffset;
+        let pending_from = self
+            .pending
+            .first()
+            .map_or(self.next_offset, |entry| entry.offset);
         if version >= pending_from {
             self.has_base = true;
             self.next_offset = self.next_offset.max(version);
@@ -196,14 +208,32 @@
         };
         match body {
             Body::TableEdit(edit) => self.apply_edit(entry, edit),
-            Body::SnapshotConfirmed(_) => {
+            Body::SnapshotConfirmed(confirmed) => {
                 self.base_time_ms = entry.time_ms;
+                self.apply_newer_snapshot(confirmed.snapshot_offset)
+            }
+            Body::TableSnapshot(snapshot) if snapshot.version > self.version => {
+                self.last_snapshot = Some((entry.offset, snapshot.clone()));
                 TableEvent::Unchanged
             }
             _ => TableEvent::Unchanged,
         }
     }
 
+    /// Applies a confirmed snapshot whose edits a restore of the log has lost.
+    fn apply_newer_snapshot(&mut self, offset: LogOffset) -> TableEvent {
+        match self.last_snapshot.take() {
+            Some((at, snapshot)) if at == offset && snapshot.version > self.version => {
+                self.version = snapshot.version;
+                self.rows = snapshot.table.unwrap_or_default();
+                TableEvent::Accepted {
+                    version: self.version,
+                }
+            }
+            _ => TableEvent::Unchanged,
+        }
+    }
+
     fn apply_edit(&mut self, entry: &LogEntry, edit: &wire::TableEdit) -> TableEvent {
         if entry.offset < self.version {
             return TableEvent::Unchanged;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -58,11 +58,16 @@
 #[derive(Clone, Serialize)]
 struct Record {
     data: String,
+    /// Era in which the record was appended.
+    era: u64,
     offset: u64,
     time_ms: u64,
 }
 
-#[derive(Default)]
+/// Contents of the log service at one time.
+pub struct LogCopy(BTreeMap<String, Stream>);
+
+#[derive(Clone, Default)]
 struct Stream {
     next: u64,
     records: VecDeque<Record>,
@@ -110,6 +115,8 @@
 struct State {
     append_bucket: TokenBucket,
     appends: u64,
+    /// Number of times that the log was restored from a copy.
+    era: u64,
     faults: PlatformFaults,
     instances: BTreeMap<String, InstanceEntry>,
     notices: BTreeMap<String, Instant>,
@@ -135,6 +142,7 @@
             state: Arc::new(Mutex::new(State {
                 append_bucket: bucket(),
                 appends: 0,
+                era: 0,
                 faults: PlatformFaults::default(),
                 instances: BTreeMap::new(),
                 notices: BTreeMap::new(),
@@ -170,6 +178,21 @@
         self.appended.notify_waiters();
     }
 
+    /// Copies the contents of the log service.
+    pub fn copy_log(&self) -> LogCopy {
+        LogCopy(self.lock().streams.clone())
+    }
+
+    /// Replaces the contents of the log service by a copy. What was appended since is lost, and
+    /// offsets are given out again.
+    pub fn restore_log(&self, copy: &LogCopy) {
+        let mut state = self.lock();
+        state.streams = copy.0.clone();
+        state.era += 1;
+        drop(state);
+        self.appended.notify_waiters();
+    }
+
     /// Announces the reclaim of an instance at `/cloud/notice`, which the instance polls.
     pub fn announce_reclaim(&self, instance: &str, notice: Duration) {
         self.lock()
@@ -213,11 +236,13 @@
     }
     state.appends += 1;
     let time_ms = now_ms();
+    let era = state.era;
     let stream = state.streams.entry(stream.into_inner()).or_default();
     let first_offset = stream.next;
     for data in body.into_inner().records {
         stream.records.push_back(Record {
             data,
+            era,
             offset: stream.next,
             time_ms,
         });
@@ -231,7 +256,9 @@
     platform.appended.notify_waiters();
     match loses_response {
         true => HttpResponse::GatewayTimeout().body("response lost by fault injection"),
-        false => HttpResponse::Ok().json(serde_json::json!({ "first_offset": first_offset })),
+        false => HttpResponse::Ok().json(serde_json::json!({
+            "era": era, "first_offset": first_offset,
+        })),
     }
 }
 
@@ -272,6 +299,7 @@
     }
     let time_ms = now_ms();
     let oldest_ms = time_ms.saturating_sub(state.faults.retention_ms);
+    let era = state.era;
     let stream = state.streams.entry(name.to_owned()).or_default();
     while stream
         .records
@@ -286,11 +314,12 @@
         .map_or(stream.next, |record| record.offset);
     let skip = query.from.saturating_sub(start) as usize;
     let records: Vec<&Record> = stream.records.iter().skip(skip).take(query.max).collect();
-    if records.is_empty() && start <= query.from && tokio::time::Instant::now() < until {
+    let is_at_tail = start <= query.from && query.from == stream.next;
+    if records.is_empty() && is_at_tail && tokio::time::Instant::now() < until {
         return None;
     }
     Some(HttpResponse::Ok().json(serde_json::json!({
-        "start": start, "tail": stream.next, "time_ms": time_ms, "records": records,
+        "era": era, "start": start, "tail": stream.next, "time_ms": time_ms, "records": records,
     })))
 }
 
--- a/tests/edits.rs
+++ b/tests/edits.rs
@@ -107,3 +107,37 @@
     });
     assert_eq!(try_publish(&cluster, 1, &edited).unwrap(), 2);
 }
+
+fn table_with_limit(cluster: &TestCluster, requests_per_s: u32) -> ebonyspread::wire::TableFile {
+    let mut table = cluster.table.clone();
+    table.client_account[0].requests_per_s = requests_per_s;
+    table
+}
+
+// The offset of the lost edit is given out again.
+#[test]
+fn edit_is_in_force_after_the_log_was_restored() {
+    let cluster = TestClusterBuilder::default().engines(0).start();
+    let copy = cluster.platform.copy_log();
+    let lost = publish_table(&cluster.platform_url, &table_with_limit(&cluster, 7));
+    cluster.wait_for_version(lost);
+    cluster.platform.restore_log(&copy);
+    // The instance writes the lost version again, so that the next edit can be based on it.
+    wait_until("snapshot", || {
+        try_publish(&cluster, lost, &table_with_limit(&cluster, 8)).is_ok()
+    });
+    let version = publish_table(&cluster.platform_url, &table_with_limit(&cluster, 9));
+    assert!(version > lost);
+    cluster.wait_for_version(version);
+}
+
+#[test]
+fn edit_lost_in_a_restore_reaches_instances_that_start_later() {
+    let mut cluster = TestClusterBuilder::default().engines(0).start();
+    let copy = cluster.platform.copy_log();
+    let lost = publish_table(&cluster.platform_url, &table_with_limit(&cluster, 7));
+    cluster.wait_for_version(lost);
+    cluster.platform.restore_log(&copy);
+    cluster.add_entry(1, 0);
+    cluster.wait_for_version(lost);
+}
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -370,3 +370,43 @@
     assert_eq!((reply.status, reply.outcome()), (503, "not-run"));
     assert_eq!(runs_of(&cluster, &key), 0);
 }
+
+// The claim and the answer are lost; the order has run.
+#[yare::parameterized(
+    instance_that_sent_it = { 0 },
+    instance_that_starts_later = { 1 },
+)]
+fn order_whose_claim_is_lost_in_a_restore_does_not_run_again(entry: usize) {
+    let mut cluster = TestClusterBuilder::default().engines(0).start();
+    order(&cluster, 0, "quayside", &new_key(), "{}");
+    let copy = cluster.platform.copy_log();
+    let key = new_key();
+    let first = order(&cluster, 0, "quayside", &key, "{}");
+    assert_eq!(first.outcome(), "whole");
+    cluster.platform.restore_log(&copy);
+    if entry == 1 {
+        cluster.add_entry(1, 0);
+        cluster.wait_for_version(1);
+    }
+    let again = order(&cluster, entry, "quayside", &key, "{}");
+    assert_eq!(runs_of(&cluster, &key), 1);
+    assert_ne!(again.outcome(), "not-run");
+}
+
+#[test]
+fn orders_run_once_after_a_restore() {
+    let cluster = TestClusterBuilder::default().engines(0).entries(2).start();
+    let copy = cluster.platform.copy_log();
+    for _ in 0..3 {
+        order(&cluster, 0, "quayside", &new_key(), "{}");
+    }
+    cluster.platform.restore_log(&copy);
+    // Without a key of the caller, nobody can have claimed it before.
+    for entry in [0, 1, 0, 1] {
+        let url = cluster.url(entry, "/orders");
+        let reply = block_on(send("POST", &url, &[bearer("quayside")], "{}"));
+        assert_eq!(reply.outcome(), "whole", "{}", reply.status);
+    }
+    let runs: u32 = cluster.service.runs().iter().map(|run| run.count).sum();
+    assert_eq!(runs, 7);
+}
