--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -361,3 +361,22 @@
     assert!(fleet.notices_in_force(NOW + PAUSE_MAX).is_empty());
     place(&mut fleet, NOW + PAUSE_MAX, &prompt(1, 2), &[]);
 }
+
+#[test]
+fn end_of_a_leaving_or_removed_server_is_not_taken_for_a_crash() {
+    let mut fleet = fleet("dc-0", 4);
+    assert!(fleet.crash_id("server-0").is_some());
+    assert_ne!(fleet.crash_id("server-0"), fleet.crash_id("server-1"));
+    fleet.report(
+        NOW,
+        ServerRecord {
+            leaving: true,
+            ..record(1)
+        },
+    );
+    fleet.record_leaving(NOW, "server-2");
+    fleet.remove("server-3");
+    for index in 1..4 {
+        assert_eq!(fleet.crash_id(&format!("server-{index}")), None);
+    }
+}
