Make crash reports where the stage of the answer is known

Found by reading the diff: record_crash took a pair of parts and a flag, whose meaning only its doc comment told.

--- a/src/crash_report.rs
+++ b/src/crash_report.rs
@@ -31,7 +31,8 @@
 }
 
 impl CrashReport {
-    /// Creates the report of a request with `parts`, none of which is the request as a whole.
+    /// Creates the report of a request with `parts`, whose answer had begun. If one of them is the
+    /// request as a whole, [`with_call`](Self::with_call) names it.
     pub fn new(at: Duration, crash: CrashId, mut parts: SuspectParts) -> Self {
         parts.sort_unstable();
         parts.dedup();
@@ -55,7 +56,7 @@
         self
     }
 
-    /// Sets whether the head of the answer had arrived; true by default.
+    /// Sets whether the head of the answer had arrived.
     pub fn begun(mut self, has_begun: bool) -> Self {
         self.has_begun = has_begun;
         self
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -440,12 +440,13 @@
             AnswerProgress::Events => SuspectParts::from_slice(&[self.whole]),
         };
         let has_begun = self.answer != AnswerProgress::None;
-        self.serving.record_crash(
-            &self.call.request_id,
-            server,
-            (parts, self.whole),
-            has_begun,
-        );
+        let report = |now, crash| {
+            CrashReport::new(now, crash, parts)
+                .with_call(self.whole)
+                .begun(has_begun)
+        };
+        let request_id = &self.call.request_id;
+        self.serving.record_crash(request_id, server, report);
     }
 
     /// Records that a whole event has arrived in the last attempt.
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -211,24 +211,20 @@
         feeds.entry(topic).or_default().confirm_end(at, end);
     }
 
-    /// Records that a server crashed while it ran a request with these parts; the second of the pair
-    /// is the one that is the hash of the whole request. `has_begun` is true if the head of the
-    /// answer had arrived. Has no effect if the server is leaving or no longer registered, since its
-    /// connections then break for that reason.
+    /// Records that a server crashed while it ran a request; `report` makes the report of it. Has no
+    /// effect if the server is leaving or no longer registered, since its connections then break for
+    /// that reason.
     pub fn record_crash(
         &self,
         request_id: &str,
         server: &ServerName,
-        (parts, call): (SuspectParts, PartHash),
-        has_begun: bool,
+        report: impl FnOnce(Duration, CrashId) -> CrashReport,
     ) {
         let Some(crash) = self.fleet.borrow().crash_id(server) else {
             return;
         };
         let now = boot_time();
-        let report = CrashReport::new(now, crash, parts)
-            .with_call(call)
-            .begun(has_begun);
+        let report = report(now, crash);
         warn!(
             "crash request={request_id} server={server} report={:016x} parts={}",
             report.id,
