Continue a stream with any event stream, whatever the first server named

Change: an answer continues the stream if it is an event stream, names no type, or has the type that the caller got.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 
+use actix_http::ResponseHead;
 use actix_http::header::CONTENT_TYPE;
 use actix_http::header::HeaderValue;
 use futures_util::stream::LocalBoxStream;
@@ -14,6 +15,9 @@
 /// after which a stalled resumable stream is moved to another server.
 const STALL_TIMEOUT_GAP_TARGETS: f64 = 3.0;
 
+/// Content type of event streams; parameters may follow it.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Delay before an incomplete body closes the caller's connection, so that the head and the parts
 /// that have arrived are written first.
 pub(crate) const FLUSH_TIME: Duration = Duration::from_millis(5);
@@ -26,7 +30,7 @@
     /// Data centre of the server that sends the stream. If it becomes unreachable, a resumable
     /// stream is resumed on another server.
     centre: DataCentreName,
-    /// Content type of the caller's response; a body of another type does not continue it.
+    /// Content type of the caller's response.
     content_type: Option<HeaderValue>,
     ended: bool,
     events: SseParser,
@@ -53,7 +57,7 @@
 
 impl Relay {
     /// Returns the body of the caller's response: the events of `body`, continued from another
-    /// server, with the same content type, if it breaks. The call counts as in flight until the returned stream is dropped.
+    /// server if it breaks. The call counts as in flight until the returned stream is dropped.
     pub(crate) fn start(
         exchange: Exchange,
         attempt: Attempt,
@@ -249,7 +253,7 @@
         let last_event_id = self.last_event_id.clone();
         match self.exchange.run_attempts(last_event_id.as_deref()).await? {
             AttemptResponse::Stream(mut attempt, response)
-                if response.head.headers.get(CONTENT_TYPE) != self.content_type.as_ref() =>
+                if !self.is_continued_by(&response.head) =>
             {
                 attempt.outcome = AttemptOutcome::Broken;
                 let reason = "answer of the next server has another content type".to_owned();
@@ -269,6 +273,17 @@
         }
     }
 
+    /// Returns true if a body with this head is an event stream, or of the type that the caller got.
+    fn is_continued_by(&self, head: &ResponseHead) -> bool {
+        let Some(content_type) = head.headers.get(CONTENT_TYPE) else {
+            return true;
+        };
+        let start = content_type.as_bytes().get(..EVENT_STREAM.len());
+        let is_event_stream =
+            start.is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM.as_bytes()));
+        is_event_stream || self.content_type.as_ref() == Some(content_type)
+    }
+
     /// Returns why the end of the server's stream is not the end of the answer; `None` if it is. A
     /// stream without a length or chunks ends with its connection, also if the server crashes.
     fn early_end(&self) -> Option<&'static str> {
