--- a/src/table_log.rs
+++ b/src/table_log.rs
@@ -65,7 +65,8 @@
     next_offset: LogOffset,
     /// Records that were read while there was no base to apply them to.
     pending: Vec<LogEntry>,
-    /// Last snapshot and its offset, which takes effect if it is confirmed and newer than `rows`.
+    /// Last snapshot of a version that a restore of the log has lost, and its offset. It takes effect
+    /// once it is confirmed.
     last_snapshot: Option<(LogOffset, wire::TableSnapshot)>,
     rows: TableRows,
     version: TableVersion,
@@ -212,7 +213,10 @@
                 self.base_time_ms = entry.time_ms;
                 self.apply_newer_snapshot(confirmed.snapshot_offset)
             }
-            Body::TableSnapshot(snapshot) if snapshot.version > self.version => {
+            Body::TableSnapshot(snapshot)
+                if snapshot.version > self.version
+                    && era_of(snapshot.version) < era_of(entry.offset) =>
+            {
                 self.last_snapshot = Some((entry.offset, snapshot.clone()));
                 TableEvent::Unchanged
             }
