Do not clear a call by an answer that only the end of its connection ends

Cause: an answer without a length ends with its connection, and so does a crash. Such an answer cleared the call that had crashed servers before.

Result: answer_that_ends_with_its_connection_does_not_clear_a_call_that_crashes_servers failed before (the call was sent on, 200 in place of 422).

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -61,6 +61,8 @@
 pub struct PlainResponse {
     /// Rest of the response, read from the connection as the stream is polled.
     pub body: ResponseStream,
+    /// True if only the end of the connection shows where the body ends, as does a crash.
+    pub ends_with_connection: bool,
     /// All headers of the server, including those that must not be forwarded.
     pub headers: HeaderMap,
     /// Status that the server sent; error statuses are responses too.
@@ -224,6 +226,7 @@
             });
         }
         Ok(PlainResponse {
+            ends_with_connection: response.body.ends_with_connection(),
             body: stream_body(response.body),
             headers,
             status: response.head.status.as_u16(),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -458,9 +458,12 @@
         self.serving.record_first_event(&self.shared_parts());
     }
 
-    /// Records that the answer of the last attempt is complete.
-    pub(crate) fn record_answer(&self) {
-        self.serving.record_answer(&self.shared_parts(), self.whole);
+    /// Records that the answer of the last attempt is complete. Has no effect if only the end of the
+    /// connection shows that, since a crash ends it, too.
+    pub(crate) fn record_answer(&self, ends_with_connection: bool) {
+        if !ends_with_connection {
+            self.serving.record_answer(&self.shared_parts(), self.whole);
+        }
     }
 
     /// Fails if the request has parts that crash servers, and may not be sent to find out whether
@@ -607,6 +610,7 @@
             attempt.outcome = AttemptOutcome::Broken;
             return Ok(AttemptResult::Lost(too_large_reason(body_bytes)));
         }
+        let ends_with_connection = response.body.ends_with_connection();
         let reading = KeptBody::read(&self.serving.body_budget, response.body);
         match timeout_at(self.deadline, reading).await {
             Ok(Ok(body)) => {
@@ -614,7 +618,7 @@
                     attempt.outcome = AttemptOutcome::Completed;
                     // A server's own error may come from a call that it has not begun.
                     if response.head.status.is_success() {
-                        self.record_answer();
+                        self.record_answer(ends_with_connection);
                     }
                 }
                 Ok(AttemptResult::Whole(
--- a/src/forwarded_body.rs
+++ b/src/forwarded_body.rs
@@ -13,6 +13,8 @@
     ended: bool,
     forwarded_bytes: usize,
     placement: Placement,
+    /// True if the end of the body shows that it is complete.
+    proves_end: bool,
     route_request: RouteRequest,
     /// Time left to wait for the server. Time in which the caller does not read is not counted.
     server_time: Duration,
@@ -37,6 +39,7 @@
             ended: false,
             forwarded_bytes: 0,
             placement,
+            proves_end: !response.ends_with_connection,
             route_request,
             server_time,
             status: response.status,
@@ -69,7 +72,9 @@
                 error.to_string()
             }
             Ok(None) => {
-                record_whole_answer(&self.context, &self.route_request, self.status);
+                if self.proves_end {
+                    record_whole_answer(&self.context, &self.route_request, self.status);
+                }
                 return None;
             }
             Err(_) => format!(
--- a/src/pass_through.rs
+++ b/src/pass_through.rs
@@ -72,7 +72,7 @@
             Ok(None) => {
                 self.attempt.outcome = AttemptOutcome::Completed;
                 if (200..300).contains(&self.status) {
-                    self.exchange.record_answer();
+                    self.exchange.record_answer(rest.ends_with_connection());
                 }
                 let server = &self.attempt.placed.server;
                 self.exchange.log_finish("whole", self.status, server);
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -333,6 +333,7 @@
         response: PlainResponse,
     ) -> Result<AtMostOnceEvent, AttemptError> {
         let (status, headers) = (response.status, response.headers.clone());
+        let proves_end = !response.ends_with_connection;
         let timeout = self.request.route.timeout;
         let body = match tokio::time::timeout(timeout, read_response_body(response)).await {
             Ok(read) => read?,
@@ -349,7 +350,9 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default();
         let record = recorded_answer(status, content_type, &body);
-        record_whole_answer(&self.worker.context, &self.route_request, status);
+        if proves_end {
+            record_whole_answer(&self.worker.context, &self.route_request, status);
+        }
         let mut builder = response_builder(status, &self.request.request_id, Outcome::Whole);
         forward_headers(&mut builder, &headers);
         self.response = Some(builder.body(body));
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -301,7 +301,8 @@
         let attempt = self.attempt.as_mut()?;
         attempt.outcome = AttemptOutcome::Completed;
         let server = attempt.placed.server.clone();
-        self.exchange.record_answer();
+        self.exchange
+            .record_answer(self.body.ends_with_connection());
         self.exchange.log_finish("whole", 200, &server);
         None
     }
