--- a/src/table_log.rs
+++ b/src/table_log.rs
@@ -15,6 +15,9 @@
 /// Maximum number of row ids listed in a conflict message.
 const CONFLICT_ROWS_MAX: usize = 12;
 
+/// Maximum number of snapshots of lost versions that are kept until one is confirmed.
+const LOST_SNAPSHOTS_MAX: usize = 4;
+
 /// Rows of a table in their wire form.
 pub type TableRows = wire::TableFile;
 
@@ -65,9 +68,9 @@
     next_offset: LogOffset,
     /// Records that were read while there was no base to apply them to.
     pending: Vec<LogEntry>,
-    /// Last snapshot of a version that a restore of the log has lost, and its offset. It takes effect
-    /// once it is confirmed.
-    last_snapshot: Option<(LogOffset, wire::TableSnapshot)>,
+    /// Last snapshots, at most [`LOST_SNAPSHOTS_MAX`], of versions that a restore of the log has lost,
+    /// with their offsets. One takes effect once it is confirmed; several instances may write one.
+    lost_snapshots: VecDeque<(LogOffset, wire::TableSnapshot)>,
     rows: TableRows,
     version: TableVersion,
 }
@@ -217,7 +220,11 @@
                 if snapshot.version > self.version
                     && era_of(snapshot.version) < era_of(entry.offset) =>
             {
-                self.last_snapshot = Some((entry.offset, snapshot.clone()));
+                if self.lost_snapshots.len() >= LOST_SNAPSHOTS_MAX {
+                    self.lost_snapshots.pop_front();
+                }
+                self.lost_snapshots
+                    .push_back((entry.offset, snapshot.clone()));
                 TableEvent::Unchanged
             }
             _ => TableEvent::Unchanged,
@@ -226,15 +233,20 @@
 
     /// Applies a confirmed snapshot whose edits a restore of the log has lost.
     fn apply_newer_snapshot(&mut self, offset: LogOffset) -> TableEvent {
-        match self.last_snapshot.take() {
-            Some((at, snapshot)) if at == offset && snapshot.version > self.version => {
-                self.version = snapshot.version;
-                self.rows = snapshot.table.unwrap_or_default();
-                TableEvent::Accepted {
-                    version: self.version,
-                }
-            }
-            _ => TableEvent::Unchanged,
+        let mut snapshots = self.lost_snapshots.iter();
+        let Some(index) = snapshots.position(|(at, _)| *at == offset) else {
+            return TableEvent::Unchanged;
+        };
+        let Some((_, snapshot)) = self.lost_snapshots.remove(index) else {
+            return TableEvent::Unchanged;
+        };
+        if snapshot.version <= self.version {
+            return TableEvent::Unchanged;
+        }
+        self.version = snapshot.version;
+        self.rows = snapshot.table.unwrap_or_default();
+        TableEvent::Accepted {
+            version: self.version,
         }
     }
 
--- a/tests/edits.rs
+++ b/tests/edits.rs
@@ -7,7 +7,16 @@
 
 use ebonyspread::error::Error;
 use ebonyspread::log_client::LogClient;
+use ebonyspread::log_client::LogEntry;
+use ebonyspread::log_era::offset_in;
 use ebonyspread::publish::publish;
+use ebonyspread::table_log::TableLog;
+use ebonyspread::wire::LogRecord;
+use ebonyspread::wire::SnapshotConfirmed;
+use ebonyspread::wire::TableEdit;
+use ebonyspread::wire::TableFile;
+use ebonyspread::wire::TableSnapshot;
+use ebonyspread::wire::log_record::Body;
 use ebonyspread_standins::platform::PlatformFaults;
 use support::*;
 
@@ -141,3 +150,43 @@
     cluster.add_entry(1, 0);
     cluster.wait_for_version(lost);
 }
+
+fn entry(offset: u64, body: Body) -> LogEntry {
+    LogEntry {
+        offset,
+        record: Some(LogRecord { body: Some(body) }),
+        time_ms: 1,
+    }
+}
+
+// Two instances write the lost version at the same time.
+#[yare::parameterized(
+    first_is_confirmed = { 1 },
+    second_is_confirmed = { 2 },
+)]
+fn lost_version_is_taken_from_any_confirmed_snapshot(confirmed: u64) {
+    let mut table_log = TableLog::default();
+    let edit = TableEdit {
+        put: Some(TableFile::default()),
+        ..TableEdit::default()
+    };
+    table_log.apply(&entry(0, Body::TableEdit(edit)));
+    assert_eq!(table_log.version(), 1);
+    let lost = 3;
+    for number in 1..=2 {
+        let snapshot = TableSnapshot {
+            version: lost,
+            table: None,
+        };
+        table_log.apply(&entry(offset_in(1, number), Body::TableSnapshot(snapshot)));
+    }
+    assert_eq!(table_log.version(), 1);
+    let confirmation = SnapshotConfirmed {
+        snapshot_offset: offset_in(1, confirmed),
+    };
+    table_log.apply(&entry(
+        offset_in(1, 3),
+        Body::SnapshotConfirmed(confirmation),
+    ));
+    assert_eq!(table_log.version(), lost);
+}
