Take a broken connection for a crash only if its server has ended

Change: a server is checked after a break (broken_servers, crash_check): it has ended if its address refuses two connections in a row or a later process registers; it has not if it accepts one or answers a call that was sent later. Each crash then counts by the chance that a request without influence would have met it: the fraction of the service's servers that crashed while the request ran, without it, and their rate in five seconds around. A part is refused when the product is as small as three lone crashes make it, five if it was answered before.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -72,6 +72,7 @@
         received_at,
         route,
         sends: 0,
+        sent_at: received_at,
         service,
         serving: serving.clone(),
         trace: trace.clone(),
--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -85,6 +85,8 @@
     pub progress: SendProgress,
     /// Cause of the failure, as text for the log.
     pub reason: String,
+    /// True if no connection could be opened because nothing listens at the address.
+    pub refused: bool,
 }
 
 impl From<ServerCallError> for std::io::Error {
@@ -110,6 +112,7 @@
             closed: false,
             progress: SendProgress::MaybeRun,
             reason: reason.to_string(),
+            refused: false,
         }
     }
 
@@ -118,6 +121,7 @@
             closed: false,
             progress: SendProgress::NotSent,
             reason: reason.to_string(),
+            refused: false,
         }
     }
 }
@@ -320,7 +324,12 @@
         let connecting = socket.connect(address);
         let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(ServerCallError::not_sent(error)),
+            Ok(Err(error)) => {
+                return Err(ServerCallError {
+                    refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
+                    ..ServerCallError::not_sent(error)
+                });
+            }
             Err(_) => return Err(ServerCallError::not_sent("connect timed out")),
         };
         stream
@@ -338,11 +347,27 @@
         })
     }
 
+    /// Opens a connection to find out whether a server still runs, and keeps it for the next call.
+    pub async fn check(self: &Rc<Self>, target: ConnectionTarget) -> CheckResult {
+        match self.connect(target.address).await {
+            Ok(connection) => {
+                self.keep_idle(&target, connection);
+                CheckResult::Accepted
+            }
+            Err(error) if error.refused => CheckResult::Refused,
+            Err(_) => CheckResult::NoAnswer,
+        }
+    }
+
     fn put_back(&self, target: &ConnectionTarget, mut connection: Connection) {
         if connection.idle_timeout.is_zero() || !connection.buffer.is_empty() {
             return;
         }
         connection.has_served = true;
+        self.keep_idle(target, connection);
+    }
+
+    fn keep_idle(&self, target: &ConnectionTarget, mut connection: Connection) {
         connection.idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(target.clone()).or_default();
--- a/src/crash_report.rs
+++ b/src/crash_report.rs
@@ -1,4 +1,4 @@
-//! Report of a backend server that crashed before it had answered a request in full.
+//! Report of a backend server that ended before it had answered a request in full.
 
 use super::*;
 
@@ -11,7 +11,7 @@
 /// Parts of a request, sorted, any of which may be the cause of a crash.
 pub type SuspectParts = SmallVec<[PartHash; 4]>;
 
-/// A server's connection broke while it ran a request.
+/// A server's process ended while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashReport {
     /// Time of the crash by the clock of the instance that holds the report.
@@ -28,6 +28,13 @@
     pub id: u64,
     /// Parts of the request that have not been cleared since; empty if another cause is likely.
     pub parts: SuspectParts,
+    /// Time for which the request had been at the server.
+    pub ran_for: Duration,
+    /// Number of servers of the service that took calls, as the instance that saw the crash knew
+    /// them; 0 if it did not say.
+    pub servers: u32,
+    /// Hash of the name of the server's service; 0 if the instance did not say.
+    pub service: u64,
 }
 
 impl CrashReport {
@@ -47,6 +54,9 @@
             has_begun: true,
             id,
             parts,
+            ran_for: Duration::ZERO,
+            servers: 0,
+            service: 0,
         }
     }
 
@@ -62,6 +72,19 @@
         self
     }
 
+    /// Sets the service of the server, by the hash of its name, and the number of its servers.
+    pub fn at_service(mut self, service: u64, servers: u32) -> Self {
+        self.service = service;
+        self.servers = servers;
+        self
+    }
+
+    /// Sets the time for which the request had been at the server.
+    pub fn ran_for(mut self, ran_for: Duration) -> Self {
+        self.ran_for = ran_for;
+        self
+    }
+
     /// Identifies the crash of the process of `server` that started at `created_ms`, in
     /// milliseconds since 1970.
     pub fn crash_id(server: &str, created_ms: u64) -> CrashId {
@@ -84,6 +107,9 @@
             has_begun: self.has_begun,
             id: self.id,
             parts: self.parts.to_vec(),
+            ran_ms: self.ran_for.as_millis() as u32,
+            servers: self.servers,
+            service: self.service,
         }
     }
 
@@ -99,6 +125,9 @@
             has_begun: wire.has_begun,
             id: wire.id,
             parts,
+            ran_for: Duration::from_millis(u64::from(wire.ran_ms)),
+            servers: wire.servers,
+            service: wire.service,
         }
     }
 }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -112,6 +112,8 @@
     pub(crate) received_at: TokioInstant,
     pub(crate) route: Arc<PolicyRoute>,
     pub(crate) sends: u32,
+    /// Time at which the last attempt was sent.
+    pub(crate) sent_at: TokioInstant,
     pub(crate) service: ServiceName,
     pub(crate) serving: Rc<ServingState>,
     pub(crate) trace: Rc<CallTrace>,
@@ -281,6 +283,7 @@
         self.tried.push(attempt.placed.server.clone());
         self.trace.begin_attempt(&attempt.placed.server);
         let sent_at = TokioInstant::now();
+        self.sent_at = sent_at;
         let response = match self.send(&mut attempt, last_event_id).await {
             SendResult::Answered(response) => *response,
             SendResult::Failed(error) => return Ok(self.on_send_error(&mut attempt, error)),
@@ -374,7 +377,8 @@
         let placed = &attempt.placed;
         record_received(&self.serving, &placed.data_centre, &placed.server);
         let mut fleet = self.serving.fleet.borrow_mut();
-        fleet.record_answer(boot_time(), &attempt.placed.server);
+        let now = boot_time();
+        fleet.record_answer(now, now.saturating_sub(elapsed), &attempt.placed.server);
         let Some(prompt) = &self.call.prompt else {
             return;
         };
@@ -440,13 +444,14 @@
             AnswerProgress::Events => SuspectParts::from_slice(&[self.whole]),
         };
         let has_begun = self.answer != AnswerProgress::None;
-        let report = |now, crash| {
-            CrashReport::new(now, crash, parts)
+        let report = |now, process: &ServerProcess| {
+            CrashReport::new(now, process.crash, parts)
                 .with_call(self.whole)
                 .begun(has_begun)
+                .at_service(process.service, process.servers)
+                .ran_for(self.sent_at.elapsed())
         };
-        let request_id = &self.call.request_id;
-        self.serving.record_crash(request_id, server, report);
+        suspect_crash(&self.serving, &self.call.request_id, server, report);
     }
 
     /// Records that a whole event has arrived in the last attempt.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -94,6 +94,8 @@
 pub struct FleetServer {
     /// Time at which it last began to answer a call of this instance.
     answered_at: Duration,
+    /// Time at which the latest call was sent that it has begun to answer.
+    answered_call_sent_at: Duration,
     ejected_until: Duration,
     failure_streak: u32,
     /// Limit on the calls that it takes.
@@ -117,6 +119,7 @@
     fn new(now: Duration, record: ServerRecord) -> Self {
         Self {
             answered_at: Duration::ZERO,
+            answered_call_sent_at: Duration::ZERO,
             ejected_until: Duration::ZERO,
             failure_streak: 0,
             limit: ServerLimit::default(),
@@ -186,6 +189,19 @@
     }
 }
 
+/// Process of a server, as a crash report describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerProcess {
+    /// Address of its listener.
+    pub address: SocketAddr,
+    /// Identifies its end.
+    pub crash: CrashId,
+    /// Number of servers of its service that take calls.
+    pub servers: u32,
+    /// Hash of the name of its service.
+    pub service: u64,
+}
+
 /// Load that one instance puts on a server, as instances report it to each other.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServerLoad {
@@ -542,20 +558,35 @@
             .any(|server| self.is_eligible(server, now, query, true))
     }
 
-    /// Records that a server has begun to answer a call; called when the head of the answer
-    /// arrives.
-    pub fn record_answer(&mut self, now: Duration, id: &str) {
+    /// Records that a server has begun to answer a call that was sent at `sent_at`; called when the
+    /// head of the answer arrives.
+    pub fn record_answer(&mut self, now: Duration, sent_at: Duration, id: &str) {
         if let Some(server) = self.servers.get_mut(id) {
             server.answered_at = now;
+            server.answered_call_sent_at = server.answered_call_sent_at.max(sent_at);
         }
     }
 
-    /// Identifies a crash of a server's present process; `None` if the server is leaving or not
-    /// registered.
-    pub fn crash_id(&self, id: &str) -> Option<CrashId> {
-        let server = self.servers.get(id)?;
-        let created_ms = server.record.created_ms;
-        (!server.is_leaving()).then(|| CrashReport::crash_id(id, created_ms))
+    /// Describes the present process of a server, whose end a crash report would name; `None` if the
+    /// server is leaving or not registered.
+    pub fn process_of(&self, id: &str) -> Option<ServerProcess> {
+        let server = self.servers.get(id).filter(|server| !server.is_leaving())?;
+        let service = &server.record.service;
+        let is_peer =
+            |other: &&FleetServer| other.record.service == *service && !other.is_leaving();
+        Some(ServerProcess {
+            address: server.record.address,
+            crash: CrashReport::crash_id(id, server.record.created_ms),
+            servers: self.servers.values().filter(is_peer).count() as u32,
+            service: xxh3_64(service.as_bytes()),
+        })
+    }
+
+    /// Returns true if a server has begun to answer a call of this instance that was sent after
+    /// `since`.
+    pub fn has_answered_call_sent_after(&self, since: Duration, id: &str) -> bool {
+        let server = self.servers.get(id);
+        server.is_some_and(|server| server.answered_call_sent_at > since)
     }
 
     /// Returns true if a server has begun to answer any call of this instance since `since`.
--- a/src/part_quarantine.rs
+++ b/src/part_quarantine.rs
@@ -19,6 +19,14 @@
 //! other requests may have, unless an answer had begun. Copies of one call may well crash several
 //! servers at the same time.
 //!
+//! A fixed number of crashes is no evidence where many servers crash for other reasons: with enough
+//! requests, some break off that often by chance. So each crash counts by the chance that a request
+//! without any influence would have met it: the fraction of the service's servers that crashed while
+//! the request ran and did not run it. A part is refused once the product of these chances is as
+//! small as [`CRASHES_TO_REFUSE`] crashes make it that no other server shared. The number of
+//! requests, servers and instances does not enter, so that the rate of wrong refusals does not grow
+//! with them other than in proportion to the parts that are suspected.
+//!
 //! Sound requests may be refused if servers crash for another reason several times in a row and no
 //! answer comes between. So one request is tried after a while, by the instance that saw the last
 //! crash: an answer ends the refusal, a crash doubles the time until the next trial.
@@ -31,17 +39,28 @@
 
 use std::cmp::Reverse;
 
-/// Crashes after which a part is refused on which no server is known to have answered.
+/// Crashes, at times at which no other server crashed, after which a part is refused on which no
+/// server is known to have answered.
 pub const CRASHES_TO_REFUSE: usize = 3;
 
 /// Crashes, without an answer since the first of them, after which a part is refused on which
 /// servers have answered before.
 pub const CRASHES_TO_REFUSE_ANSWERED: usize = 5;
 
+/// Smallest chance that a crash is assumed to have of meeting a request that did not cause it, since
+/// crashes of which no instance has reported are not known.
+pub const CHANCE_MIN: f64 = 0.01;
+
 /// Crashes within this time of each other count as one for a part that other requests may have and
 /// whose answer had not begun.
 pub const SAME_TIME: Duration = Duration::from_millis(100);
 
+/// Time before and after a crash over which the rate of crashes is taken.
+const RATE_TIME: Duration = Duration::from_secs(5);
+
+/// Factor for the rounding of products of chances.
+const CHANCE_ROUNDING: f64 = 1.000_001;
+
 /// Time after the last crash for which parts are refused. The next crash afterwards, within
 /// [`REPORT_TTL`], refuses them again.
 pub const REFUSAL_TIME: Duration = Duration::from_secs(600);
@@ -344,12 +363,11 @@
     fn decide(&self) -> Vec<Refusal> {
         let mut unexplained: Vec<&CrashReport> = self.reports.iter().map(|k| &k.report).collect();
         let mut refusals = Vec::new();
-        let mut seen: HashSet<CrashId> = HashSet::new();
-        seen.extend(unexplained.iter().map(|report| report.crash));
-        if seen.len() < CRASHES_TO_REFUSE {
+        let mut timeline = CrashTimeline::new(&unexplained);
+        if timeline.crashes.len() < CRASHES_TO_REFUSE {
             return refusals;
         }
-        while let Some(cause) = self.likeliest_cause(&unexplained) {
+        while let Some(cause) = self.likeliest_cause(&unexplained, &timeline) {
             let mut parts: Option<SuspectParts> = None;
             let mut crashes: SmallVec<[CrashId; 8]> = SmallVec::new();
             let mut last_crash_at = Duration::ZERO;
@@ -362,6 +380,7 @@
                 last_crash_at = last_crash_at.max(report.at);
             }
             unexplained.retain(|report| !crashes.contains(&report.crash));
+            timeline.remove(&crashes);
             refusals.push(Refusal {
                 crashes: crashes.len(),
                 last_crash_at,
@@ -373,7 +392,11 @@
 
     /// Returns the part with enough crashes whose last answer is the longest ago; of several, the
     /// one with the most crashes.
-    fn likeliest_cause(&self, reports: &[&CrashReport]) -> Option<PartHash> {
+    fn likeliest_cause(
+        &self,
+        reports: &[&CrashReport],
+        timeline: &CrashTimeline,
+    ) -> Option<PartHash> {
         let mut report_counts: HashMap<PartHash, usize> = HashMap::new();
         for part in reports.iter().flat_map(|report| &report.parts) {
             *report_counts.entry(*part).or_default() += 1;
@@ -388,13 +411,13 @@
         }
         let mut best = None;
         for (part, evidence) in evidence {
-            let count = evidence.count();
             let answered_at = self.answered_at.get(&part).copied();
             let needed = match answered_at {
                 Some(_) => CRASHES_TO_REFUSE_ANSWERED,
                 None => CRASHES_TO_REFUSE,
             };
-            if count < needed {
+            let (count, chance) = evidence.count_and_chance(timeline);
+            if chance > CHANCE_MIN.powi(needed as i32) * CHANCE_ROUNDING {
                 continue;
             }
             let rank = (answered_at, Reverse(count), part);
@@ -465,35 +488,113 @@
     }
 }
 
+/// Crashes that nothing explains yet, in the order of their times.
+#[derive(Debug)]
+struct CrashTimeline {
+    /// Each crash with the hash of its service.
+    crashes: Vec<(Duration, CrashId, u64)>,
+}
+
+impl CrashTimeline {
+    fn new(reports: &[&CrashReport]) -> Self {
+        let mut first_reports: HashMap<CrashId, (Duration, u64)> = HashMap::new();
+        for report in reports {
+            let known = first_reports.entry(report.crash);
+            let (at, _) = known.or_insert((report.at, report.service));
+            *at = report.at.min(*at);
+        }
+        let crashes = first_reports.into_iter();
+        let mut crashes: Vec<_> = crashes.map(|(id, (at, of))| (at, id, of)).collect();
+        crashes.sort_unstable();
+        Self { crashes }
+    }
+
+    fn remove(&mut self, explained: &[CrashId]) {
+        self.crashes.retain(|(_, id, _)| !explained.contains(id));
+    }
+
+    /// Returns the chance that a request which ran as long as the one of `met` met a crash, from the
+    /// crashes of the service that are not among `own`: those while it ran, and their rate in
+    /// [`RATE_TIME`] before and after.
+    fn chance(&self, met: &MetCrash, own: &[MetCrash]) -> f64 {
+        let before = met.ran_for.max(SAME_TIME);
+        let at_that_time = self.count(met, own, before, SAME_TIME);
+        let around = self.count(met, own, RATE_TIME, RATE_TIME);
+        let part = (before + SAME_TIME).as_secs_f64() / (RATE_TIME * 2).as_secs_f64();
+        let expected = at_that_time.max(around * part.min(1.0));
+        (expected / f64::from(met.servers.max(1))).clamp(CHANCE_MIN, 1.0)
+    }
+
+    fn count(&self, met: &MetCrash, own: &[MetCrash], before: Duration, after: Duration) -> f64 {
+        let from = met.at.saturating_sub(before);
+        let until = met.at + after;
+        let first = self.crashes.partition_point(|(at, ..)| *at < from);
+        let mut count = 0;
+        for (at, id, service) in &self.crashes[first..] {
+            if *at > until {
+                break;
+            }
+            let is_own = own.iter().any(|met| met.crash == *id);
+            count += u32::from(*service == met.service && !is_own);
+        }
+        f64::from(count)
+    }
+}
+
+/// Crash at which a part was among those of a request that broke off.
+#[derive(Debug)]
+struct MetCrash {
+    at: Duration,
+    crash: CrashId,
+    /// True if it counts even if others were at the same time.
+    is_strong: bool,
+    ran_for: Duration,
+    servers: u32,
+    service: u64,
+}
+
 /// Crashes at which a part was among those of a request that broke off.
 #[derive(Debug, Default)]
 struct Evidence {
-    /// Each crash with its time, and whether it counts even if others were at the same time.
-    crashes: SmallVec<[(CrashId, Duration, bool); 8]>,
+    crashes: SmallVec<[MetCrash; 8]>,
 }
 
 impl Evidence {
     fn add(&mut self, report: &CrashReport, part: PartHash) {
         let is_strong = report.has_begun || report.call == part;
-        let known = self.crashes.iter_mut();
-        match known.into_iter().find(|(crash, ..)| *crash == report.crash) {
-            Some((.., known_strong)) => *known_strong |= is_strong,
-            None => self.crashes.push((report.crash, report.at, is_strong)),
+        let mut known = self.crashes.iter_mut();
+        match known.find(|met| met.crash == report.crash) {
+            Some(met) => {
+                met.is_strong |= is_strong;
+                met.ran_for = met.ran_for.max(report.ran_for);
+            }
+            None => self.crashes.push(MetCrash {
+                at: report.at,
+                crash: report.crash,
+                is_strong,
+                ran_for: report.ran_for,
+                servers: report.servers,
+                service: report.service,
+            }),
         }
     }
 
-    /// Number of crashes that count against the part.
-    fn count(mut self) -> usize {
-        self.crashes.sort_unstable_by_key(|(_, at, _)| *at);
+    /// Returns the number of crashes that count against the part, and the chance that a part without
+    /// influence meets all of them.
+    fn count_and_chance(mut self, timeline: &CrashTimeline) -> (usize, f64) {
+        self.crashes.sort_unstable_by_key(|met| met.at);
+        let mut chance = 1.0;
         let mut count = 0;
         let mut counted_at = None;
-        for (_, at, is_strong) in self.crashes {
-            if is_strong || counted_at.is_none_or(|counted_at| at - counted_at >= SAME_TIME) {
+        for met in &self.crashes {
+            let is_apart = counted_at.is_none_or(|counted_at| met.at - counted_at >= SAME_TIME);
+            if met.is_strong || is_apart {
+                chance *= timeline.chance(met, &self.crashes);
                 count += 1;
-                counted_at = Some(at);
+                counted_at = Some(met.at);
             }
         }
-        count
+        (count, chance)
     }
 }
 
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -76,6 +76,8 @@
     pub body_budget: Rc<ByteBudget>,
     /// Idle connections to backend servers, shared by all calls.
     pub connections: Rc<ConnectionPool>,
+    /// Servers whose connections broke and that may have ended.
+    pub broken_servers: RefCell<BrokenServers>,
     /// Open connections of callers, by a number in the order of their acceptance; for the log.
     pub(crate) callers: RefCell<BTreeMap<u64, Weak<ConnectionTrace>>>,
     /// Counts how often a data centre became unreachable or reachable again; wakes the tasks that
@@ -148,6 +150,7 @@
         };
         Self {
             accepted_rate: RefCell::default(),
+            broken_servers: RefCell::default(),
             callers: RefCell::default(),
             body_budget: ByteBudget::new(BODY_BUDGET_BYTES),
             connections: Rc::default(),
@@ -211,20 +214,9 @@
         feeds.entry(topic).or_default().confirm_end(at, end);
     }
 
-    /// Records that a server crashed while it ran a request; `report` makes the report of it. Has no
-    /// effect if the server is leaving or no longer registered, since its connections then break for
-    /// that reason.
-    pub fn record_crash(
-        &self,
-        request_id: &str,
-        server: &ServerName,
-        report: impl FnOnce(Duration, CrashId) -> CrashReport,
-    ) {
-        let Some(crash) = self.fleet.borrow().crash_id(server) else {
-            return;
-        };
+    /// Records that a server has ended while it ran a request.
+    pub fn record_crash(&self, request_id: &str, server: &ServerName, report: CrashReport) {
         let now = boot_time();
-        let report = report(now, crash);
         warn!(
             "crash request={request_id} server={server} report={:016x} parts={}",
             report.id,
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -648,7 +648,7 @@
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
 }
-/// A backend server crashed as it began to answer a request.
+/// A backend server ended while it ran a request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CrashReport {
     /// Identifies the report; equal for all instances that hold it.
@@ -669,6 +669,15 @@
     /// True if the head of the answer had arrived.
     #[prost(bool, tag = "6")]
     pub has_begun: bool,
+    /// Time for which the request had been at the server.
+    #[prost(uint32, tag = "7")]
+    pub ran_ms: u32,
+    /// Hash of the name of the server's service.
+    #[prost(fixed64, tag = "8")]
+    pub service: u64,
+    /// Number of servers of the service that took calls, as the instance that saw the crash knew them.
+    #[prost(uint32, tag = "9")]
+    pub servers: u32,
 }
 /// Load that the sender puts on a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -6,6 +6,8 @@
 mod answer_timeout;
 #[path = "decisions/body_buffer.rs"]
 mod body_buffer;
+#[path = "decisions/broken_servers.rs"]
+mod broken_servers;
 #[path = "decisions/budget.rs"]
 mod budget;
 #[path = "decisions/byte_budget.rs"]
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -365,8 +365,9 @@
 #[test]
 fn end_of_a_leaving_or_removed_server_is_not_taken_for_a_crash() {
     let mut fleet = fleet("dc-0", 4);
-    assert!(fleet.crash_id("server-0").is_some());
-    assert_ne!(fleet.crash_id("server-0"), fleet.crash_id("server-1"));
+    assert!(fleet.process_of("server-0").is_some());
+    let crash_of = |id| fleet.process_of(id).map(|process| process.crash);
+    assert_ne!(crash_of("server-0"), crash_of("server-1"));
     fleet.report(
         NOW,
         ServerRecord {
@@ -377,6 +378,6 @@
     fleet.record_leaving(NOW, "server-2");
     fleet.remove("server-3");
     for index in 1..4 {
-        assert_eq!(fleet.crash_id(&format!("server-{index}")), None);
+        assert_eq!(fleet.process_of(&format!("server-{index}")), None);
     }
 }
--- a/tests/decisions/part_quarantine.rs
+++ b/tests/decisions/part_quarantine.rs
@@ -6,6 +6,7 @@
 use ebonyspread::crash_report::CrashReport;
 use ebonyspread::crash_report::PartHash;
 use ebonyspread::gossip::DIGEST_INTERVAL;
+use ebonyspread::part_quarantine::CHANCE_MIN;
 use ebonyspread::part_quarantine::CRASHES_TO_REFUSE;
 use ebonyspread::part_quarantine::CRASHES_TO_REFUSE_ANSWERED;
 use ebonyspread::part_quarantine::PartQuarantine;
@@ -17,6 +18,9 @@
 use ebonyspread::part_quarantine::TRIAL_DELAY;
 use ebonyspread::peers::Peers;
 use prost::Message;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use smallvec::SmallVec;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -34,8 +38,11 @@
 const CAUSE: PartHash = 1_000;
 const OTHER_CAUSE: PartHash = 2_000;
 
+/// Service of the servers that crash.
+const SERVICE: u64 = 9;
+
 fn report(at: Duration, crash: u64, parts: &[PartHash]) -> CrashReport {
-    CrashReport::new(at, crash, SmallVec::from_slice(parts))
+    CrashReport::new(at, crash, SmallVec::from_slice(parts)).at_service(SERVICE, 18)
 }
 
 /// Reports `count` crashes, a second apart, of requests with `parts` and a part of their own.
@@ -394,6 +401,7 @@
     for has_begun in [false, true] {
         let sent = report(NOW, 1, &[COMMON, CAUSE]);
         let sent = sent.with_call(CAUSE).begun(has_begun);
+        let sent = sent.at_service(9, 240).ran_for(SECOND / 4);
         let received = CrashReport::from_wire(NOW, sent.to_wire(NOW));
         assert_eq!(received, sent);
     }
@@ -465,3 +473,137 @@
     let time = DIGEST_INTERVAL * rounds;
     assert!(time <= REFUSED_WITHIN, "{time:?}");
 }
+
+/// Crashes of servers that no request causes, and the sound calls that run meanwhile.
+#[derive(Debug, Clone, Copy)]
+struct Storm {
+    /// Crashes a second, at any of the servers.
+    crashes_per_s: u32,
+    /// Number of crashes.
+    crashes: u32,
+    /// Calls that run at a server at a time; their answers have not begun.
+    running: u32,
+    servers: u32,
+}
+
+/// Plays a storm, in steps of 10 ms. Each call is one of `calls`, repeated at another server until
+/// it is answered. Returns the number of sent calls and of those that were refused.
+fn refused_in(storm: Storm, calls: u64, seed: u64) -> (usize, usize) {
+    const STEP: Duration = Duration::from_millis(10);
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut quarantine = PartQuarantine::default();
+    // Server, call, start and end of each running call.
+    let mut running: Vec<(u32, u64, Duration, Duration)> = Vec::new();
+    let (mut sent, mut refused, mut crashes) = (0, 0, 0);
+    let mut now = NOW;
+    while crashes < storm.crashes {
+        now += STEP;
+        while running.len() < (storm.servers * storm.running) as usize {
+            let call = 1_000 + random.random_range(0..calls);
+            sent += 1;
+            if is_refused(&quarantine, now, &[COMMON, call]) {
+                refused += 1;
+                break;
+            }
+            let runs_for = Duration::from_millis(random.random_range(20..400));
+            let server = random.random_range(0..storm.servers);
+            running.push((server, call, now, now + runs_for));
+        }
+        let (ended, still) = running.into_iter().partition(|(.., end)| *end <= now);
+        running = still;
+        let ended: Vec<_> = ended;
+        for (_, call, ..) in ended {
+            quarantine.record_answer(now, &[COMMON], call);
+        }
+        let due = (now - NOW).as_millis() as u32 * storm.crashes_per_s / 1_000;
+        while crashes < due.min(storm.crashes) {
+            crashes += 1;
+            let lost = random.random_range(0..storm.servers);
+            let mut reports = Vec::new();
+            for (server, call, began, end) in &mut running {
+                if *server != lost {
+                    continue;
+                }
+                let broken = report(now, u64::from(crashes), &[COMMON, *call]).with_call(*call);
+                let broken = broken.begun(false).ran_for(now - *began);
+                reports.push(broken.at_service(SERVICE, storm.servers));
+                *server = random.random_range(0..storm.servers);
+                *end += now - *began;
+                *began = now;
+            }
+            quarantine.merge(now, reports);
+        }
+    }
+    (sent, refused)
+}
+
+// Each second a tenth of the servers ends and comes back, as when servers flap. Callers repeat a few
+// hundred calls, each of which breaks off at many servers before it is answered.
+#[yare::parameterized(
+    standard = { Storm { crashes_per_s: 2, crashes: 20, running: 5, servers: 18 } },
+    grown = { Storm { crashes_per_s: 6, crashes: 24, running: 3, servers: 60 } },
+    large = { Storm { crashes_per_s: 24, crashes: 36, running: 2, servers: 240 } },
+    half_of_the_servers_at_once = { Storm { crashes_per_s: 2_400, crashes: 120, running: 2, servers: 240 } },
+)]
+fn sound_calls_that_crashes_of_another_cause_break_off_are_not_refused(storm: Storm) {
+    for seed in 0..2 {
+        let (sent, refused) = refused_in(storm, 60, seed);
+        assert!(refused * 1_000 <= sent, "{refused} of {sent}, seed {seed}");
+    }
+}
+
+// A call that crashes servers comes again while a tenth of the servers end each second for another
+// reason.
+#[yare::parameterized(
+    standard = { Storm { crashes_per_s: 2, running: 8, servers: 18, crashes: 10 } },
+    grown = { Storm { crashes_per_s: 6, running: 8, servers: 60, crashes: 30 } },
+    large = { Storm { crashes_per_s: 24, running: 8, servers: 240, crashes: 120 } },
+)]
+fn call_that_crashes_servers_is_refused_beside_crashes_of_another_cause(storm: Storm) {
+    let mut quarantine = PartQuarantine::default();
+    let mut crashes: u32 = 0;
+    let mut storm_crash: u32 = 0;
+    while !is_refused(&quarantine, NOW + SECOND * 30, &[CAUSE]) {
+        let at = NOW + SECOND * crashes / 2;
+        for number in 0..storm.crashes_per_s / 2 {
+            storm_crash += 1;
+            let at = at + SECOND / storm.crashes_per_s * number;
+            let own = 10_000 + u64::from(storm_crash);
+            let broken = report(at, own, &[COMMON, own]).with_call(own).begun(false);
+            let broken = broken
+                .ran_for(SECOND / 10)
+                .at_service(SERVICE, storm.servers);
+            quarantine.record_crash(at, broken);
+        }
+        let broken = report(at, u64::from(crashes), &[COMMON, CAUSE]).with_call(CAUSE);
+        let broken = broken.begun(false).ran_for(SECOND / 10);
+        quarantine.record_crash(at, broken.at_service(SERVICE, storm.servers));
+        quarantine.record_answer(at + SECOND / 8, &[COMMON], 7);
+        crashes += 1;
+        assert!(u64::from(crashes) <= CRASHES_ALLOWED, "{crashes}");
+    }
+}
+
+#[test]
+fn crash_counts_less_the_more_servers_crash_at_that_time() {
+    let servers = 100;
+    for others in [0_u64, 1, 10, 30] {
+        let mut quarantine = PartQuarantine::default();
+        let mut needed: u32 = 0;
+        while !is_refused(&quarantine, NOW + SECOND, &[CAUSE]) && needed < 100 {
+            let at = NOW + SECOND * needed;
+            for number in 0..others {
+                let crash = 1_000 * u64::from(needed + 1) + number;
+                let broken = report(at, crash, &[50_000 + crash]).with_call(50_000 + crash);
+                quarantine.record_crash(at, broken.at_service(SERVICE, servers));
+            }
+            let broken = report(at, u64::from(needed), &[CAUSE]).with_call(CAUSE);
+            quarantine.record_crash(at, broken.at_service(SERVICE, servers));
+            needed += 1;
+        }
+        let chance = (others as f64 / f64::from(servers)).max(CHANCE_MIN);
+        let limit = CHANCE_MIN.powi(CRASHES_TO_REFUSE as i32);
+        let expected = (limit.ln() / chance.ln()).ceil() as u32;
+        assert_eq!(needed, expected.min(100), "{others}");
+    }
+}
