Follow the instances through the readers of the data centre

Change: it is read as the other topics are, by two instances of a data centre, whose copies the others read.

--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -46,7 +46,7 @@
 
 /// Interval between reads of the instances' topic; one read then returns the records of all
 /// instances that started at about the same time.
-const INSTANCES_READ_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const INSTANCES_READ_INTERVAL: Duration = Duration::from_millis(800);
 
 /// Interval at which a stop checks whether calls are still in progress or connections open.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -115,12 +115,14 @@
     let policies = TopicFollower {
         log: log.clone(),
         pause: Duration::ZERO,
+        peer_pause: Duration::ZERO,
         topic: parts.policy_topic,
         wait: POLICY_READ_WAIT,
     };
     let servers = TopicFollower {
-        log,
+        log: log.clone(),
         pause: SERVERS_READ_INTERVAL,
+        peer_pause: Duration::ZERO,
         topic: parts.server_topic,
         wait: reader_wait(serving.settings.edit_time, SERVERS_READ_INTERVAL).min(SERVERS_READ_WAIT),
     };
@@ -135,7 +137,7 @@
     follow_servers(&serving, servers, parts.decode_server, &shutdown);
     let socket = bind_gossip(parts.peer_address).await?;
     actix_rt::spawn(run_gossip(serving.clone(), socket, shutdown.clone()));
-    follow_peers(&serving, parts.log.clone(), parts.peer_address, &shutdown);
+    follow_peers(&serving, log, parts.peer_address, &shutdown);
     if let Some(cloud) = parts.cloud {
         let duties = Duties::new(serving.clone(), parts.log.clone(), cloud);
         actix_rt::spawn(duties.run(shutdown.clone()));
@@ -296,6 +298,7 @@
     let follower = TopicFollower {
         log: log.clone(),
         pause: INSTANCES_READ_INTERVAL,
+        peer_pause: INSTANCES_READ_INTERVAL,
         topic: INSTANCES_TOPIC,
         wait: INSTANCES_READ_WAIT,
     };
@@ -306,11 +309,19 @@
         let own = serving.settings.instance.clone();
         let on_event = move |event| match event {
             TopicEvent::Change(record) => {
-                let mut peers = serving.peers.borrow_mut();
-                peers.apply_record(boot_time(), &record, &own);
-                let mut limits = serving.limits.borrow_mut();
-                limits.set_instances(peers.known_count() + 1);
+                {
+                    let mut peers = serving.peers.borrow_mut();
+                    peers.apply_record(boot_time(), &record, &own);
+                    let mut limits = serving.limits.borrow_mut();
+                    limits.set_instances(peers.known_count() + 1);
+                }
+                serving.update_feed(INSTANCES_TOPIC, record);
+            }
+            TopicEvent::CaughtUp { at, end } => {
+                serving.confirm_feed_end(INSTANCES_TOPIC, at, end);
             }
+            TopicEvent::Reachable(false) => serving.mark_feed_lost(INSTANCES_TOPIC),
+            TopicEvent::Reachable(true) => {}
             TopicEvent::Restored => {
                 // The copy may be from before the registration.
                 let (serving, log) = (serving.clone(), log.clone());
@@ -318,7 +329,6 @@
                     register_address(&serving, log.as_ref(), address).await;
                 });
             }
-            TopicEvent::CaughtUp { .. } | TopicEvent::Reachable(_) => {}
         };
         follower.run(on_event, shutdown).await;
     });
--- a/src/shared_log.rs
+++ b/src/shared_log.rs
@@ -166,9 +166,12 @@
 
     /// Returns the maximum time that a direct read waits for new records: `wait`, or less while
     /// peers read through this instance.
-    fn log_wait(&self, wait: Duration) -> Duration {
+    fn log_wait(&self, topic: &str, wait: Duration) -> Duration {
         let edit_time = self.serving.settings.edit_time;
         match self.serving.has_peer_readers() {
+            true if topic == INSTANCES_TOPIC => {
+                wait.min(reader_wait(edit_time, INSTANCES_READ_INTERVAL))
+            }
             true => wait.min(edit_time.mul_f64(READER_WAIT_FRACTION)),
             false => wait,
         }
@@ -207,7 +210,7 @@
             Some(PeerAnswer::Page(page)) => page,
             Some(PeerAnswer::Gone) => return Ok(TopicRead::Gone),
             None => {
-                let wait = self.log_wait(wait);
+                let wait = self.log_wait(topic, wait);
                 return self.track_failure(self.log.read(topic, from, wait).await);
             }
         };
--- a/src/topic_follower.rs
+++ b/src/topic_follower.rs
@@ -20,8 +20,10 @@
     /// Log service that holds the topic, or peers that serve copies of it.
     pub log: Rc<dyn TopicLog>,
     /// Pause between reads of the log, so that frequent records are read in batches. Peers return
-    /// only records that change a value, so they are read again at once.
+    /// only records that change a value, so that they may be read again sooner.
     pub pause: Duration,
+    /// Pause between reads from peers.
+    pub peer_pause: Duration,
     /// Name of the topic at the log service.
     pub topic: &'static str,
     /// Maximum time that a read waits for a record if there is no new one.
@@ -74,7 +76,7 @@
             }
             let pause = match &read {
                 Ok(ReadSource::Log) => self.pause,
-                Ok(ReadSource::Peer { .. }) => Duration::ZERO,
+                Ok(ReadSource::Peer { .. }) => self.peer_pause,
                 Err(_) => RETRY_DELAY,
             };
             if read.is_ok() != reachable {
