Collect the usage of a data centre at two instances

Change: each instance sends its digest in every round to the two collectors of its data centre, which send the sums to the collectors of all; counts only grow, so that the larger of two sums is taken. Only collectors compete for the duties where digests rotate. Fan-in of a collector: its data centre and the digests that rotate.

--- a/src/duties.rs
+++ b/src/duties.rs
@@ -34,7 +34,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Shortest time from the end of a usage window to its report. The other instances send their
-/// counts twice within this time.
+/// counts, or those of their data centre, several times within this time.
 const REPORT_DELAY: Duration = Duration::from_millis(2_000);
 
 /// The holder gives up sending a report when less than this time is left until the platform counts
@@ -88,7 +88,7 @@
         loop {
             let step = self.state.borrow().lease.next_step(boot_time());
             let token_before = self.state.borrow().lease.fencing_token(boot_time());
-            if token_before.is_none() && !self.serving.reads_log() {
+            if token_before.is_none() && !self.serving.competes_for_duties() {
                 // Only instances that read the log for their data centre compete for the lease;
                 // they are enough.
                 tokio::time::sleep(LEASE_DURATION).await;
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -125,7 +125,9 @@
     let mut limits = serving.limits.borrow_mut();
     limits.update_peer_demand(now, peer, digest.demands);
     let mut usage = serving.usage.borrow_mut();
-    usage.set_peer_counts(peer.clone(), digest.life, digest.usage);
+    let centre = &digest.data_centre;
+    usage.set_peer_counts(peer.clone(), digest.life, centre, digest.usage);
+    usage.merge_centre_sums(centre, digest.centre_usage);
 }
 
 async fn send_digests(serving: Rc<ServingState>, socket: Rc<UdpSocket>) {
@@ -133,22 +135,43 @@
         let now = boot_time();
         let mut digest = local_digest(&serving, now, round);
         let own = &serving.settings.instance;
-        let targets = serving.peers.borrow().digest_targets(now, own, round);
+        let mut targets = serving.peers.borrow().digest_targets(now, own, round);
         let peers = serving.peers.borrow().active_hashes(now);
-        serving
-            .fleet
-            .borrow_mut()
-            .set_instances(now, name_hash(own), peers);
-        for (address, echoed) in targets {
-            digest.echoed = echoed;
-            // The next digest follows soon, so a loss to a full socket or an unreachable peer is
-            // ignored.
-            let _ = socket.try_send_to(&digest.encode(), address);
+        {
+            let mut fleet = serving.fleet.borrow_mut();
+            fleet.set_instances(now, name_hash(own), peers);
+            fleet.set_digest_interval(serving.peers.borrow().digest_interval());
         }
+        let collectors = collectors(&serving, now);
+        targets.retain(|target| !collectors.contains(target));
+        send_to(&socket, &mut digest, targets);
+        if serving.collects_usage(now) {
+            digest.centre_usage = serving.usage.borrow().centre_sums();
+        }
+        send_to(&socket, &mut digest, collectors);
         tokio::time::sleep(DIGEST_INTERVAL).await;
     }
 }
 
+/// Returns the peers that collect usage, if the others do not get a digest in every round.
+fn collectors(serving: &ServingState, now: Duration) -> Vec<DigestTarget> {
+    let settings = &serving.settings;
+    let peers = serving.peers.borrow();
+    match peers.sends_to_all() {
+        true => Vec::new(),
+        false => peers.collectors(now, &settings.instance, &settings.data_centre),
+    }
+}
+
+fn send_to(socket: &UdpSocket, digest: &mut PeerDigest, targets: Vec<DigestTarget>) {
+    for (address, echoed) in targets {
+        digest.echoed = echoed;
+        // The next digest follows soon, so a loss to a full socket or an unreachable peer is
+        // ignored.
+        let _ = socket.try_send_to(&digest.encode(), address);
+    }
+}
+
 /// Builds the current digest. The caller sets `echoed`, the send time of the last digest from the
 /// receiver, for each peer.
 fn local_digest(serving: &ServingState, now: Duration, round: u64) -> PeerDigest {
@@ -165,6 +188,7 @@
         }
     }
     PeerDigest {
+        centre_usage: BTreeMap::new(),
         crash_reports,
         data_centre: serving.settings.data_centre.clone(),
         demands: serving.limits.borrow_mut().demand(now),
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -12,6 +12,9 @@
     /// Reports of servers that crashed as they began to answer a request, with times by the
     /// sender's clock, as in `sent`.
     pub crash_reports: Vec<CrashReport>,
+    /// Calls of all instances of the sender's data centre that began to run in the newest windows, as
+    /// far as the sender knows; empty unless both collect the usage of their data centres.
+    pub centre_usage: BTreeMap<UsageWindow, UsageCounts>,
     /// Data centre of the sender; the arrival of the digest shows that it can be reached.
     pub data_centre: DataCentreName,
     /// Units (calls or tokens, as the account's limit counts them) that the sender admitted and
@@ -93,7 +96,11 @@
             prefill_tokens_per_s: work.prefill_tokens_per_s,
             service: service.to_string(),
         });
+        let centre_usage = digest.centre_usage.iter();
         Self {
+            centre_usage: centre_usage
+                .map(|(window, counts)| encode_usage(*window, counts))
+                .collect(),
             crash_reports: crash_reports.collect(),
             data_centre: digest.data_centre.to_string(),
             demands: demands.collect(),
@@ -128,7 +135,9 @@
         let limits = wire.limits.into_iter();
         let sent = millis(wire.sent_ms);
         let work = wire.work.into_iter();
+        let centre_usage = wire.centre_usage.into_iter();
         Self {
+            centre_usage: centre_usage.map(decode_usage).collect(),
             crash_reports: crash_reports
                 .map(|wire| CrashReport::from_wire(sent, wire))
                 .collect(),
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -25,7 +25,8 @@
 /// Maximum number of peers that receive a digest in one round. Small deployments send to all peers
 /// at once; larger ones rotate through them, so that traffic grows linearly with the number of
 /// instances instead of quadratically. With a hundred instances, account limits rely on demand that
-/// is up to 1.5 s old; the overage that they allow covers this delay.
+/// is up to 1.5 s old; the overage that they allow covers this delay. What has to arrive sooner goes
+/// through [`Peers::collectors`].
 const PEERS_PER_ROUND_MAX: usize = 24;
 
 /// Time without a digest from a peer after which this instance sends it one only every
@@ -172,6 +173,62 @@
         ranked.into_iter().map(|(_, target)| target).collect()
     }
 
+    /// Returns true if the instance `own` collects the usage of its data centre.
+    pub fn is_collector(
+        &self,
+        now: Duration,
+        own: &InstanceName,
+        data_centre: &DataCentreName,
+    ) -> bool {
+        let own_rank = name_hash(own);
+        let ranked = self.live_ranked(now, data_centre);
+        ranked.iter().filter(|(rank, _)| *rank < own_rank).count() < READER_COUNT
+    }
+
+    /// Returns the instances that collect usage, other than `own`, to which it sends a digest in
+    /// every round: those of its data centre and, if it is one of them, those of all.
+    pub fn collectors(
+        &self,
+        now: Duration,
+        own: &InstanceName,
+        data_centre: &DataCentreName,
+    ) -> Vec<DigestTarget> {
+        let is_collector = self.is_collector(now, own, data_centre);
+        let mut centres: Vec<&DataCentreName> = vec![data_centre];
+        if is_collector {
+            centres.extend(self.by_name.values().map(|peer| &peer.data_centre));
+            centres.sort_unstable();
+            centres.dedup();
+        }
+        let mut addresses: Vec<SocketAddr> = Vec::new();
+        for centre in centres {
+            let own_share = usize::from(is_collector && centre == data_centre);
+            let ranked = self.live_ranked(now, centre);
+            let chosen = ranked.iter().take(READER_COUNT - own_share);
+            addresses.extend(chosen.map(|(_, address)| *address));
+        }
+        let echo_of = |address: &SocketAddr| {
+            let mut peers = self.by_name.values();
+            let peer = peers.find(|peer| peer.address == *address)?;
+            peer.last_digest.map(|(_, sent)| sent)
+        };
+        let targets = addresses.iter();
+        targets
+            .map(|address| (*address, echo_of(address)))
+            .collect()
+    }
+
+    /// Returns the time between two digests that this instance sends to the same peer.
+    pub fn digest_interval(&self) -> Duration {
+        let rounds = self.by_name.len().div_ceil(PEERS_PER_ROUND_MAX).max(1);
+        DIGEST_INTERVAL * rounds as u32
+    }
+
+    /// Returns true if every instance sends all others a digest in each round.
+    pub fn sends_to_all(&self) -> bool {
+        self.by_name.len() <= PEERS_PER_ROUND_MAX
+    }
+
     /// Returns the hashes of the names of the peers that are not silent.
     pub fn active_hashes(&self, now: Duration) -> Vec<u64> {
         let active = self.by_name.iter().filter(|(_, peer)| !peer.is_silent(now));
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -144,6 +144,7 @@
         let seed = xxh3_64(settings.instance.as_bytes());
         // A clock that is wrong at startup is corrected by the clocks of the peers.
         let unix = Duration::from_millis(unix_ms());
+        let usage = UsageCounter::new(boot_time(), settings.data_centre.clone());
         let unknown_until = match settings.first_start {
             true => Duration::ZERO,
             false => boot_time() + settings.limit_window,
@@ -177,7 +178,7 @@
             splitter: RefCell::new(WeightedSplitter::new(seed)),
             started_at: boot_time(),
             stopped: Cell::new(false),
-            usage: RefCell::new(UsageCounter::new(boot_time())),
+            usage: RefCell::new(usage),
             wall_clock: RefCell::new(WallClock::new(boot_time(), unix)),
         }
     }
@@ -330,6 +331,21 @@
         readers.is_empty()
     }
 
+    /// Returns true if this instance collects the usage of its data centre for the holder of the
+    /// duties. None does while all instances send each other their counts in each round.
+    pub fn collects_usage(&self, now: Duration) -> bool {
+        let settings = &self.settings;
+        let peers = self.peers.borrow();
+        !peers.sends_to_all() && peers.is_collector(now, &settings.instance, &settings.data_centre)
+    }
+
+    /// Returns true if this instance competes for the duties: it reads the log, and gets the usage of
+    /// all instances in time.
+    pub fn competes_for_duties(&self) -> bool {
+        let gets_usage = self.peers.borrow().sends_to_all() || self.collects_usage(boot_time());
+        gets_usage && self.reads_log()
+    }
+
     /// Returns true if the instance may receive calls: its policy was proven to be the newest
     /// recently enough, and it is not stopping.
     pub fn is_ready(&self) -> bool {
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -626,6 +626,9 @@
     /// Servers whose answers to the sender have said within the last seconds that they are leaving.
     #[prost(message, repeated, tag = "16")]
     pub leaving_servers: ::prost::alloc::vec::Vec<LeavingServer>,
+    /// Sums over the instances of the sender's data centre; sent between instances that collect them.
+    #[prost(message, repeated, tag = "17")]
+    pub centre_usage: ::prost::alloc::vec::Vec<UsageWindowCounts>,
 }
 /// Process of a backend server that is leaving.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
