Refuse calls that arrive late in a planned stop

Change: from 2.7 s on a call that arrives is answered 503 with Retry-After, as not run, while connections are accepted for 0.25 s longer than before. The address is removed from the log at the beginning of the stop, beside the calls; a peer does not add an instance that says it leaves. The reserve for the exit is 0.6 s.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -13,6 +13,9 @@
 /// precedence.
 const DEFAULT_CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// `Retry-After` value sent while the instance stops: another one takes the call at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Reads and admits a request. The request id of `trace` is set as soon as the head has been
 /// parsed, so that later errors can be reported under it.
 pub(crate) async fn accept_call(
@@ -24,6 +27,11 @@
     let call = serving.dialect.parse_request(request.head())?;
     trace.request_id.get_or_init(|| call.request_id.clone());
     let body = read_body(&mut request, body_limit_bytes(serving)).await?;
+    if serving.refuses_calls.get() {
+        return Err(Error::Stopping {
+            retry_after_ms: STOPPING_RETRY_AFTER.as_millis() as u64,
+        });
+    }
     let now = boot_time();
     let policy = serving.fresh_policy(now)?;
     let route = policy
--- a/src/error.rs
+++ b/src/error.rs
@@ -264,6 +264,12 @@
         /// Time in milliseconds until the first of them takes calls again.
         retry_after_ms: u64,
     },
+    /// The instance is stopping and the call came too late to be completed for certain.
+    #[snafu(display("this instance is stopping; retry at another one after {retry_after_ms} ms"))]
+    Stopping {
+        /// Time in milliseconds until a retry can succeed.
+        retry_after_ms: u64,
+    },
     /// The table has changed since the version on which the edit is based.
     #[snafu(display(
         "conflict: the table is at version {current}, the edit is based on version {base}; \
@@ -382,6 +388,7 @@
             Self::RetryBudgetSpent { .. } => (503, "retry_budget_spent"),
             Self::ServerLimits { .. } => (503, "server_limits"),
             Self::ServersPaused { .. } => (503, "servers_paused"),
+            Self::Stopping { .. } => (503, "instance_stopping"),
             Self::TableMissing => (503, "table_missing"),
             Self::TableStale { .. } => (503, "table_stale"),
             Self::UnknownKey => (401, "invalid_api_key"),
@@ -409,9 +416,8 @@
             | Self::Overloaded { retry_after_ms, .. }
             | Self::RetryBudgetSpent { retry_after_ms, .. }
             | Self::ServerLimits { retry_after_ms, .. }
-            | Self::ServersPaused { retry_after_ms, .. } => {
-                Some(Duration::from_millis(*retry_after_ms))
-            }
+            | Self::ServersPaused { retry_after_ms, .. }
+            | Self::Stopping { retry_after_ms } => Some(Duration::from_millis(*retry_after_ms)),
             Self::CallInProgress
             | Self::CallMoved
             | Self::ClaimUnavailable { .. }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -92,6 +92,11 @@
         return;
     }
     let mut peers = serving.peers.borrow_mut();
+    if digest.leaving && !peers.is_known(peer) {
+        // It has removed its address from the log, and is not to be added again by what it still
+        // sends.
+        return;
+    }
     peers.record_digest(now, peer, address, &digest.data_centre, digest.sent);
     peers.record_version(peer, digest.policy_version);
     serving
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -124,6 +124,11 @@
         peer.last_digest = Some((now, sent));
     }
 
+    /// Returns true if the peer is in the log or has sent a digest.
+    pub fn is_known(&self, name: &InstanceName) -> bool {
+        self.by_name.contains_key(name)
+    }
+
     /// Records the version of the policy that a peer named in its digest.
     pub fn record_version(&mut self, name: &InstanceName, version: PolicyVersion) {
         if let Some(peer) = self.by_name.get_mut(name) {
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -122,6 +122,9 @@
     pub policy: RefCell<PolicyState>,
     /// Maximum time since the policy was last proven to be the newest; a reload can change it.
     pub policy_age_max: Cell<Duration>,
+    /// True while the instance is stopping and refuses calls that arrive: the load balancer sends it
+    /// none any more, and what it still took might be cut off at the end of the stop.
+    pub refuses_calls: Cell<bool>,
     /// Retries that may still be made; accepted calls add to them.
     pub retry_budget: RefCell<RetryBudget>,
     /// Settings at startup; a reload does not change them.
@@ -173,6 +176,7 @@
             part_quarantine: RefCell::default(),
             policy: RefCell::default(),
             policy_age_max: Cell::new(settings.policy_age_max),
+            refuses_calls: Cell::new(false),
             retry_budget: RefCell::default(),
             settings,
             splitter: RefCell::new(WeightedSplitter::new(seed)),
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -14,12 +14,20 @@
 /// second and removes an instance after two failed checks.
 const LOAD_BALANCER_DELAY: Duration = Duration::from_millis(3_000);
 
+/// Fraction of [`LOAD_BALANCER_DELAY`] after which calls that arrive are refused, so that their
+/// callers send them to another instance. The rest is for what the signal came late.
+const LATE_CALL_FRACTION: f64 = 0.9;
+
+/// Time after [`LOAD_BALANCER_DELAY`] for which connections are still accepted, whose calls are
+/// refused: closing the listener would reset those that wait to be accepted.
+const REFUSING_TIME: Duration = Duration::from_millis(250);
+
 /// Part of the grace period (the time between the stop signal and the kill) that is reserved for
-/// the exit of the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(400);
+/// the exit of the process, which on the smallest machines gets an eighth of a processor.
+const EXIT_RESERVE: Duration = Duration::from_millis(600);
 
-/// Maximum time for removing the instance's own address from the log.
-const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum time for removing the instance's own address from the log, beside the calls that end.
+const DEREGISTER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum number of lines that name the calls that a stop cuts.
 const CUT_LINES_MAX: u32 = 20;
@@ -156,16 +164,8 @@
             },
         }
     }
+    actix_rt::spawn(remove_address(serving.clone(), parts.log.clone()));
     stop(&serving, parts.grace, &accepting, &closing).await;
-    let removal = parts
-        .log
-        .put(INSTANCES_TOPIC, &serving.settings.instance, Bytes::new());
-    if tokio::time::timeout(DEREGISTER_TIMEOUT, removal)
-        .await
-        .is_err()
-    {
-        warn!("peer address was not removed from the log in time; peers will detect the silence");
-    }
     shutdown.cancel();
     tokio::time::sleep(LOG_FLUSH_DELAY).await;
     Ok(())
@@ -211,7 +211,10 @@
         serving.settings.instance,
         serving.in_flight.get()
     );
-    tokio::time::sleep(LOAD_BALANCER_DELAY.min(grace / 2)).await;
+    let delay = LOAD_BALANCER_DELAY.min(grace / 2);
+    tokio::time::sleep(delay.mul_f64(LATE_CALL_FRACTION)).await;
+    serving.refuses_calls.set(true);
+    tokio::time::sleep(delay.mul_f64(1.0 - LATE_CALL_FRACTION) + REFUSING_TIME).await;
     accepting.cancel();
     closing.cancel();
     let end = grace.saturating_sub(EXIT_RESERVE);
@@ -231,6 +234,20 @@
     );
 }
 
+/// Removes this instance's address from the log, so that peers send it no further digests. A peer
+/// that gets one of its last digests does not add it again.
+async fn remove_address(serving: Rc<ServingState>, log: Rc<dyn TopicLog>) {
+    let instance = &serving.settings.instance;
+    let removal = log.put(INSTANCES_TOPIC, instance, Bytes::new());
+    match tokio::time::timeout(DEREGISTER_TIMEOUT, removal).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => warn!("peer address not removed from the log: {error}"),
+        Err(_) => {
+            warn!("peer address not removed from the log in time; peers will detect the silence");
+        }
+    }
+}
+
 /// Logs the connections whose callers are not answered although the stop ends, at most
 /// [`CUT_LINES_MAX`] of them, and then the number of all.
 fn log_unanswered(serving: &ServingState) {
