Count crashes on the own interface by the number of its servers

Reports now carry the number of servers, so that a crash counts by the chance of meeting it. The two new cases were refused before (with the number of servers taken as very large). A check whether the server has ended is not made there yet.

--- a/src/router.rs
+++ b/src/router.rs
@@ -478,7 +478,8 @@
             state.crashed_at = now;
         }
         let crash = CrashReport::crash_id(server, state.crashed_at.as_millis() as u64);
-        Some(CrashReport::new(now, crash, parts))
+        let servers = self.servers.len() as u32;
+        Some(CrashReport::new(now, crash, parts).at_service(0, servers))
     }
 
     /// Ends an attempt; `failure` is `None` if its answer was complete or its request is abandoned.
--- a/tests/decisions/router.rs
+++ b/tests/decisions/router.rs
@@ -169,3 +169,28 @@
     );
     assert_eq!(router.admit(later, &parted).is_ok(), seen_here);
 }
+
+// Half of the engines lose answers by a reset of the connection, as with a fault of the network, and
+// one sound request is among those that break off, each time it is sent again.
+#[yare::parameterized(
+    few_engines = { 6 },
+    many_engines = { 60 },
+)]
+fn sound_request_is_not_refused_because_many_servers_lose_answers(servers: u64) {
+    let mut router = router(servers as usize, 60);
+    for round in 0..4 {
+        let now = Duration::from_millis(10_000 + round * 700);
+        for server in 0..servers / 2 {
+            let name: SmolStr = format!("server-{server}").into();
+            let other = SuspectParts::from_slice(&[1_000 + round * 100 + server]);
+            router.merge_crash(now, &name, other, 0);
+        }
+        let hit = format!("server-{}", servers - 1 - round % (servers / 2));
+        let sound = SuspectParts::from_slice(&[7]);
+        router.merge_crash(now, &hit.into(), sound, 0);
+    }
+    let mut sound = request(0);
+    sound.parts = SuspectParts::from_slice(&[7]);
+    let admitted = router.admit(Duration::from_secs(14), &sound);
+    assert!(admitted.is_ok(), "{admitted:?}");
+}
