Decide on crash reports only when one shares a part with another

A report none of whose parts another crash had explains nothing; it is decided on with the next digest, or once there are too many.

--- a/src/part_quarantine.rs
+++ b/src/part_quarantine.rs
@@ -221,7 +221,8 @@
                 if report.parts.is_empty() {
                     continue;
                 }
-                is_changed = true;
+                // Otherwise it explains nothing yet; answers clear it with the next digest.
+                is_changed |= self.has_part_of(&report) || self.reports.len() >= REPORTS_MAX;
                 self.reports.push(KnownReport {
                     changed_at: now,
                     is_own: false,
@@ -247,6 +248,15 @@
         }
     }
 
+    /// Returns true if a report of another crash has a part of this one.
+    fn has_part_of(&self, report: &CrashReport) -> bool {
+        let mut others = self.reports.iter().map(|known| &known.report);
+        others.any(|other| {
+            let mut parts = other.parts.iter();
+            other.crash != report.crash && parts.any(|part| report.parts.contains(part))
+        })
+    }
+
     /// Returns the refusal that a request with these parts falls under.
     pub fn refusal(&self, now: Duration, parts: &[PartHash]) -> Option<&Refusal> {
         self.refusals
