Leave usage out of digests to instances that do not collect it

Usage of three windows is the larger part of a digest with many accounts, and only collectors use it where digests rotate.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -149,7 +149,12 @@
         }
         let collectors = collectors(&serving, now);
         targets.retain(|target| !collectors.contains(target));
+        let usage = std::mem::take(&mut digest.usage);
+        if collectors.is_empty() {
+            digest.usage = usage.clone();
+        }
         send_to(&socket, &mut digest, targets);
+        digest.usage = usage;
         if serving.collects_usage(now) {
             digest.centre_usage = serving.usage.borrow().centre_sums();
         }
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -45,7 +45,8 @@
     pub sent: Duration,
     /// Sender's estimate of the time since 1970 in milliseconds, without corrections by its peers.
     pub unix_ms: u64,
-    /// Calls of the sender that began to run in the newest windows, by window and account.
+    /// Calls of the sender that began to run in the newest windows, by window and account; empty if
+    /// the receiver does not collect them.
     pub usage: BTreeMap<UsageWindow, UsageCounts>,
     /// What the sender sends to each service.
     pub work: HashMap<ServiceName, ServiceWork>,
