--- a/src/duties.rs
+++ b/src/duties.rs
@@ -25,6 +25,9 @@
 /// Interval at which the holder sends a report that is due and plans the capacity.
 const DUTY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which an instance that does not compete for the lease checks whether it should.
+const COMPETE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Delay after a read of the duty topic by an instance without the lease. Without the delay, every
 /// renewal would wake all of these instances.
 const FOLLOWER_READ_DELAY: Duration = Duration::from_millis(1_500);
@@ -91,7 +94,7 @@
             if token_before.is_none() && !self.serving.competes_for_duties() {
                 // Only instances that read the log for their data centre compete for the lease;
                 // they are enough.
-                tokio::time::sleep(LEASE_DURATION).await;
+                tokio::time::sleep(COMPETE_INTERVAL).await;
                 continue;
             }
             let result = match step {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -21,6 +21,7 @@
     interrupted_streams: Counter<u64>,
     invariant_violations: Counter<u64>,
     outcomes: Counter<u64>,
+    platform_calls: Counter<u64>,
     provider: SdkMeterProvider,
     registry: prometheus::Registry,
     retries: Counter<u64>,
@@ -65,6 +66,7 @@
             interrupted_streams: meter.u64_counter("interrupted_streams").build(),
             invariant_violations: meter.u64_counter("invariant_violations").build(),
             outcomes: meter.u64_counter("outcomes").build(),
+            platform_calls: meter.u64_counter("platform_calls").build(),
             retries: meter.u64_counter("retries").build(),
             retries_denied: meter.u64_counter("retries_denied").build(),
             tokens: meter.u64_counter("tokens").build(),
@@ -100,6 +102,13 @@
         self.control_bytes.add(bytes as u64, &labels);
     }
 
+    /// Counts a call to the platform, by its kind (`append`, `list` and `read` of a topic of the log,
+    /// `order`, `usage`).
+    pub fn platform_call(&self, kind: &'static str, topic: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("topic", topic)];
+        self.platform_calls.add(1, &labels);
+    }
+
     /// Counts a server that crashed as it began to answer a request of this instance.
     pub fn crash_report(&self) {
         self.crash_reports.add(1, &[]);
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -48,6 +48,10 @@
 /// Peers send digests several times a second.
 const PEER_VERSIONS_DELAY: Duration = Duration::from_millis(1_000);
 
+/// Time after its start at which an instance has read the list of its peers and heard of some. Until
+/// then each would take itself for one of the few that compete for the duties.
+const PEERS_LISTED_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Time since a peer last read a topic of the log from this instance; until it has passed, more
 /// reads are expected.
 const PEER_READ_TTL: Duration = Duration::from_secs(3);
@@ -346,6 +350,9 @@
     /// Returns true if this instance competes for the duties: it reads the log, and gets the usage of
     /// all instances in time.
     pub fn competes_for_duties(&self) -> bool {
+        if boot_time().saturating_sub(self.started_at) < PEERS_LISTED_AFTER {
+            return false;
+        }
         let gets_usage = self.peers.borrow().sends_to_all() || self.collects_usage(boot_time());
         gets_usage && self.reads_log()
     }
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -117,8 +117,10 @@
         "start instance={} data_centre={} callers={} status={}",
         serving.settings.instance, serving.settings.data_centre, parts.callers, parts.status
     );
+    let counted_log = CountedLog::new(parts.log, serving.metrics.clone());
+    let direct_log: Rc<dyn TopicLog> = Rc::new(counted_log);
     let shared_log =
-        start_shared_log(&serving, parts.log.clone(), parts.peer_address, &shutdown).await?;
+        start_shared_log(&serving, direct_log.clone(), parts.peer_address, &shutdown).await?;
     let log: Rc<dyn TopicLog> = shared_log.clone();
     let policies = TopicFollower {
         log: log.clone(),
@@ -147,7 +149,8 @@
     actix_rt::spawn(run_gossip(serving.clone(), socket, shutdown.clone()));
     follow_peers(&serving, log, parts.peer_address, &shutdown);
     if let Some(cloud) = parts.cloud {
-        let duties = Duties::new(serving.clone(), parts.log.clone(), cloud);
+        let cloud = Rc::new(CountedCloud::new(cloud, serving.metrics.clone()));
+        let duties = Duties::new(serving.clone(), direct_log.clone(), cloud);
         actix_rt::spawn(duties.run(shutdown.clone()));
     }
     actix_rt::spawn(watch_centres(serving.clone(), shutdown.clone()));
@@ -164,7 +167,7 @@
             },
         }
     }
-    actix_rt::spawn(remove_address(serving.clone(), parts.log.clone()));
+    actix_rt::spawn(remove_address(serving.clone(), direct_log));
     stop(&serving, parts.grace, &accepting, &closing).await;
     shutdown.cancel();
     tokio::time::sleep(LOG_FLUSH_DELAY).await;
