Share limits by demand after a restart, once enough peers are heard of

Cause: for the whole window after a restart an instance spent at most 1.25 equal shares of an account's limit.

--- a/src/usage_limits.rs
+++ b/src/usage_limits.rs
@@ -35,11 +35,17 @@
 const ASSUMED_INSTANCES: usize = 100;
 
 /// Largest share of a limit that a restarted instance spends, in multiples of an equal share, while
-/// it does not know what was admitted before. Until it has received the demand of all others, the
-/// share computed from the demand is too large; since all instances may have restarted, such shares
-/// could together exceed the limit.
+/// it knows neither what was admitted before nor the demand of enough others. Since all instances may
+/// have restarted, shares computed from too little demand could together exceed the limit.
 const RESTART_SHARE_FACTOR: f64 = 1.25;
 
+/// Number of peers from whose demand a restarted instance estimates that of all, if there are more.
+const RESTART_PEERS_MIN: usize = 24;
+
+/// Part of the share by demand that a restarted instance spends, because it estimates the demand of
+/// the peers that it has not heard of from that of the others.
+const RESTART_SHARE_PART: f64 = 0.8;
+
 /// Number of slots that a window is divided into; usage is forgotten one slot at a time as the
 /// window moves on.
 const WINDOW_SLOTS: u64 = 16;
@@ -137,6 +143,7 @@
         let peers = self.peer_demand(now, &account.name);
         let instances = self.instances as f64;
         let knows_usage = now >= self.usage_unknown_until;
+        let unheard_factor = self.unheard_factor(now);
         let started_at = self.usage_unknown_until.saturating_sub(self.window);
         let slot = self.slot(now);
         let entry = self.accounts.entry(account.name.clone());
@@ -162,9 +169,14 @@
             true => demand_share(usage.asked.at(now), peers.asked_per_s),
             false => 1.0 / instances,
         };
-        let share = match knows_usage {
-            true => share,
-            false => share.min(RESTART_SHARE_FACTOR / instances),
+        let share = match (knows_usage, unheard_factor) {
+            (true, _) => share,
+            (false, None) => share.min(RESTART_SHARE_FACTOR / instances),
+            // Callers are spread unevenly, so that an equal share refuses most of some instances.
+            (false, Some(factor)) => {
+                let own = usage.asked.at(now);
+                own / (own + peers.asked_per_s * factor) * RESTART_SHARE_PART
+            }
         };
         let rate_per_s = limit.rate_per_s * share;
         let capacity = limit.burst * share;
@@ -232,6 +244,17 @@
         by_account
     }
 
+    /// Returns the factor from the demand of the peers that were heard of to that of all; `None` if
+    /// too few were heard of.
+    fn unheard_factor(&self, now: Duration) -> Option<f64> {
+        let is_heard =
+            |peer: &&PeerDemand| now.saturating_sub(peer.received_at) < SILENT_DEMAND_TTL;
+        let heard = self.peers.values().filter(is_heard).count();
+        let all = self.instances - 1;
+        (heard > 0 && heard >= all.min(RESTART_PEERS_MIN))
+            .then(|| (all as f64 / heard as f64).max(1.0))
+    }
+
     fn peer_demand(&self, now: Duration, account: &AccountName) -> AccountDemand {
         let mut sum = AccountDemand::default();
         for peer in self.peers.values() {
--- a/tests/decisions/usage_limits.rs
+++ b/tests/decisions/usage_limits.rs
@@ -207,6 +207,23 @@
     simulation.assert_within_limit();
 }
 
+// A fixed smallest share of each instance sums to several times the limit where there are hundreds.
+#[yare::parameterized(
+    four_times = { 4.0 },
+    seven_times = { 7.5 },
+)]
+fn sudden_demand_at_hundreds_of_instances_stays_within_the_limit(times: f64) {
+    let mut simulation = Simulation::new(295);
+    simulation.run(
+        Duration::from_secs(12),
+        &uneven(295, RATE_PER_S / 1.8),
+        true,
+    );
+    let demand = uneven(295, RATE_PER_S / 1.8 * times);
+    simulation.run(Duration::from_secs(12), &demand, true);
+    simulation.assert_within_limit();
+}
+
 #[test]
 fn limit_holds_over_a_restart_of_all_instances() {
     let mut simulation = Simulation::new(6);
@@ -252,6 +269,57 @@
     assert!(refused < asked * 0.5, "{refused} of {asked} refused");
 }
 
+/// Demand of many instances of which a few get most of the calls, as a hash of the callers spreads
+/// them.
+fn uneven(count: usize, total_per_s: f64) -> Vec<f64> {
+    let weight = |index: usize| f64::from((index * 7_919 % 97) as u32).powi(3);
+    let sum: f64 = (0..count).map(weight).sum();
+    (0..count)
+        .map(|index| weight(index) / sum * total_per_s)
+        .collect()
+}
+
+// After all instances have restarted, an equal share of the limit refused most of what the busier
+// ones got, for the whole window.
+#[yare::parameterized(
+    standard = { 6, 0.05 },
+    grown = { 85, 0.1 },
+    large = { 295, 0.2 },
+)]
+fn usual_uneven_demand_after_a_restart_is_served(count: usize, refused_max: f64) {
+    let demand = uneven(count, RATE_PER_S / 1.8);
+    let mut simulation = Simulation::new(count);
+    simulation.run(Duration::from_secs(12), &demand, true);
+    simulation.restart_all();
+    simulation.set_instance_counts();
+    simulation.run(Duration::from_secs(10), &demand, true);
+    let asked = RATE_PER_S / 1.8 * 10.0 / CALL_UNITS;
+    let refused = f64::from(simulation.refused);
+    assert!(
+        refused < asked * refused_max,
+        "{refused} of {asked} refused"
+    );
+    simulation.assert_within_limit();
+}
+
+#[yare::parameterized(
+    standard = { 6 },
+    grown = { 85 },
+    large = { 295 },
+)]
+fn limit_holds_over_a_restart_at_uneven_demand_above_it(count: usize) {
+    let mut simulation = Simulation::new(count);
+    let usual = uneven(count, RATE_PER_S / 1.8);
+    simulation.run(Duration::from_secs(12), &usual, true);
+    let demand = uneven(count, RATE_PER_S * 4.0);
+    simulation.run(Duration::from_secs(9), &demand, true);
+    simulation.restart_all();
+    simulation.run(START_TIME, &demand, false);
+    simulation.set_instance_counts();
+    simulation.run(Duration::from_secs(12), &demand, true);
+    simulation.assert_within_limit();
+}
+
 #[test]
 fn limit_holds_while_instances_cannot_report_to_each_other() {
     let mut simulation = Simulation::new(6);
