Send the usage of the data centres to the holder of the duties, wherever it is

Change: digests say who holds the duties; collectors send it the sums in every round, and it sends them its digest.

--- a/src/duties.rs
+++ b/src/duties.rs
@@ -48,6 +48,8 @@
 struct DutyState {
     /// Era of the log at the last listing of the topic; `None` before the first.
     era: Option<LogEra>,
+    /// Time at which this instance became the holder.
+    held_since: Duration,
     lease: Lease,
     /// Report that is in the duty topic but not yet known to have been accepted by the platform.
     pending: Option<(UsageWindow, UsageCounts)>,
@@ -262,6 +264,10 @@
     async fn run_duties(&self) {
         loop {
             tokio::time::sleep(DUTY_INTERVAL).await;
+            let holds_duties = self.fencing_token().is_some();
+            if !self.serving.holds_duties.replace(holds_duties) && holds_duties {
+                self.state.borrow_mut().held_since = boot_time();
+            }
             self.report_usage().await;
             self.order_capacity().await;
         }
@@ -293,6 +299,10 @@
             }
             return;
         }
+        if boot_time().saturating_sub(self.state.borrow().held_since) < PEER_COUNTS_DELAY {
+            // The collectors have just learnt whom to send the counts to.
+            return;
+        }
         let Some(window) = self.due_window() else {
             return;
         };
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -99,6 +99,7 @@
     }
     peers.record_digest(now, peer, address, &digest.data_centre, digest.sent);
     peers.record_version(peer, digest.policy_version);
+    peers.record_duties(peer, digest.holds_duties);
     serving
         .policy
         .borrow_mut()
@@ -169,7 +170,10 @@
     let peers = serving.peers.borrow();
     match peers.sends_to_all() {
         true => Vec::new(),
-        false => peers.collectors(now, &settings.instance, &settings.data_centre),
+        false => {
+            let is_holder = serving.holds_duties.get();
+            peers.collectors(now, &settings.instance, &settings.data_centre, is_holder)
+        }
     }
 }
 
@@ -203,6 +207,7 @@
         data_centre: serving.settings.data_centre.clone(),
         demands: serving.limits.borrow_mut().demand(now),
         echoed: None,
+        holds_duties: serving.holds_duties.get(),
         instance: serving.settings.instance.clone(),
         limits,
         leaving_servers,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -371,6 +371,7 @@
 use crate::topic_log::TopicRead;
 use crate::topic_log::decode_keyed_record;
 use crate::topic_log::encode_keyed_record;
+use crate::usage_counter::PEER_COUNTS_DELAY;
 use crate::usage_counter::UsageCounter;
 use crate::usage_counter::UsageCounts;
 use crate::usage_limits::AccountDemand;
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -23,6 +23,8 @@
     /// Send time in the last digest that the sender received from this receiver, by the receiver's
     /// clock; `None` if it received none. Proves how recent `policy_age` is.
     pub echoed: Option<Duration>,
+    /// True while the sender holds the duties, so that collectors send it the usage.
+    pub holds_duties: bool,
     /// Name of the sender; an instance ignores its own digests.
     pub instance: InstanceName,
     /// True once the sender has started to stop.
@@ -106,6 +108,7 @@
             data_centre: digest.data_centre.to_string(),
             demands: demands.collect(),
             echoed_ms: digest.echoed.map_or(0, |echoed| echoed.as_millis() as u64),
+            holds_duties: digest.holds_duties,
             instance: digest.instance.to_string(),
             leaving: digest.leaving,
             leaving_servers: digest.leaving_servers.iter().map(Into::into).collect(),
@@ -153,6 +156,7 @@
                 })
                 .collect(),
             echoed: (wire.echoed_ms > 0).then(|| millis(wire.echoed_ms)),
+            holds_duties: wire.holds_duties,
             instance: wire.instance.into(),
             leaving: wire.leaving,
             leaving_servers: wire.leaving_servers.into_iter().map(Into::into).collect(),
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -48,6 +48,8 @@
     /// Data centre that the peer named in its record or first digest; only peers of the same one
     /// are read from.
     pub data_centre: DataCentreName,
+    /// True if the peer held the duties when it sent its last digest.
+    pub holds_duties: bool,
     /// Time at which the address became known.
     pub known_at: Duration,
     /// Receipt time of the peer's last digest, and the send time that the digest contained; `None`
@@ -91,6 +93,7 @@
                 let peer = Peer {
                     address,
                     data_centre: data_centre.into(),
+                    holds_duties: false,
                     known_at: now,
                     last_digest: None,
                     policy_version: 0,
@@ -117,6 +120,7 @@
         let peer = self.by_name.entry(name.clone()).or_insert_with(|| Peer {
             address,
             data_centre: data_centre.clone(),
+            holds_duties: false,
             known_at: now,
             last_digest: None,
             policy_version: 0,
@@ -129,6 +133,13 @@
         self.by_name.contains_key(name)
     }
 
+    /// Records whether a peer holds the duties, by its digest.
+    pub fn record_duties(&mut self, name: &InstanceName, holds_duties: bool) {
+        if let Some(peer) = self.by_name.get_mut(name) {
+            peer.holds_duties = holds_duties;
+        }
+    }
+
     /// Records the version of the policy that a peer named in its digest.
     pub fn record_version(&mut self, name: &InstanceName, version: PolicyVersion) {
         if let Some(peer) = self.by_name.get_mut(name) {
@@ -190,17 +201,19 @@
         ranked.iter().filter(|(rank, _)| *rank < own_rank).count() < READER_COUNT
     }
 
-    /// Returns the instances that collect usage, other than `own`, to which it sends a digest in
-    /// every round: those of its data centre and, if it is one of them, those of all.
+    /// Returns the instances, other than `own`, to which it sends a digest in every round for the
+    /// sake of usage: those that collect it in its data centre; those of all data centres, if it is
+    /// one of them or holds the duties (`is_holder`); and the holder, if it is one of them.
     pub fn collectors(
         &self,
         now: Duration,
         own: &InstanceName,
         data_centre: &DataCentreName,
+        is_holder: bool,
     ) -> Vec<DigestTarget> {
         let is_collector = self.is_collector(now, own, data_centre);
         let mut centres: Vec<&DataCentreName> = vec![data_centre];
-        if is_collector {
+        if is_collector || is_holder {
             centres.extend(self.by_name.values().map(|peer| &peer.data_centre));
             centres.sort_unstable();
             centres.dedup();
@@ -212,6 +225,12 @@
             let chosen = ranked.iter().take(READER_COUNT - own_share);
             addresses.extend(chosen.map(|(_, address)| *address));
         }
+        if is_collector {
+            let holders = self.by_name.values().filter(|peer| peer.holds_duties);
+            addresses.extend(holders.map(|peer| peer.address));
+            addresses.sort_unstable();
+            addresses.dedup();
+        }
         let echo_of = |address: &SocketAddr| {
             let mut peers = self.by_name.values();
             let peer = peers.find(|peer| peer.address == *address)?;
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -103,6 +103,8 @@
     pub first_usage_window: UsageWindow,
     /// The registered backend servers, from which the fleet chooses the server of each attempt.
     pub fleet: RefCell<Fleet>,
+    /// True while this instance holds the duties.
+    pub holds_duties: Cell<bool>,
     /// Number of calls in progress; a stop waits until it is 0, at most for the grace period (the
     /// time between the stop signal and the kill).
     pub in_flight: Cell<u32>,
@@ -170,6 +172,7 @@
             feeds: RefCell::default(),
             first_usage_window: window_of(unix, settings.usage_window),
             fleet: RefCell::new(Fleet::new(settings.data_centre.clone())),
+            holds_duties: Cell::new(false),
             in_flight: Cell::new(0),
             life: unix.as_millis() as u64,
             limits: RefCell::new(UsageLimits::new(settings.limit_window, unknown_until, seed)),
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -629,6 +629,9 @@
     /// Sums over the instances of the sender's data centre; sent between instances that collect them.
     #[prost(message, repeated, tag = "17")]
     pub centre_usage: ::prost::alloc::vec::Vec<UsageWindowCounts>,
+    /// True while the sender holds the duties.
+    #[prost(bool, tag = "18")]
+    pub holds_duties: bool,
 }
 /// Process of a backend server that is leaving.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/decisions/usage_counter.rs
+++ b/tests/decisions/usage_counter.rs
@@ -74,10 +74,10 @@
 /// of the window; in the last one a tenth of the instances are killed, none of them the holder.
 /// Returns the part of the calls that the holder knows when it reports, and the most digests that an
 /// instance received in a round.
-fn part_reported(count: u16, seed: u64) -> (f64, usize) {
+fn part_reported(count: u16, seed: u64, by_collector: bool) -> (f64, usize) {
     const COUNTING_ROUNDS: u64 = 8;
     let mut random = StdRng::seed_from_u64(seed);
-    let peers: Vec<Peers> = (0..count).map(|own| peers_of(own, count)).collect();
+    let mut peers: Vec<Peers> = (0..count).map(|own| peers_of(own, count)).collect();
     let centre_of = |index: u16| format!("dc-{}", index % CENTRES).into();
     let mut counters: Vec<UsageCounter> = (0..count)
         .map(|index| UsageCounter::new(START, centre_of(index)))
@@ -85,9 +85,12 @@
     let holder = (0..count)
         .find(|own| {
             let peers = &peers[usize::from(*own)];
-            peers.is_collector(START, &name(*own), &centre_of(*own))
+            peers.is_collector(START, &name(*own), &centre_of(*own)) == by_collector
         })
-        .unwrap();
+        .unwrap_or(0);
+    for peers in &mut peers {
+        peers.record_duties(&name(holder), true);
+    }
     let mut killed = vec![false; usize::from(count)];
     let reporting_rounds = REPORT_DELAY.as_millis() / DIGEST_INTERVAL.as_millis();
     let mut received_max = 0;
@@ -106,7 +109,7 @@
             let peers = &peers[usize::from(own)];
             let collectors = match peers.sends_to_all() {
                 true => Vec::new(),
-                false => peers.collectors(START, &own_name, &centre),
+                false => peers.collectors(START, &own_name, &centre, own == holder),
             };
             let is_collector = peers.is_collector(START, &own_name, &centre);
             let mut targets = peers.digest_targets(START, &own_name, round);
@@ -153,22 +156,24 @@
 // With 295 instances a digest of each reaches the holder only every 3.7 s: reports lacked 9 to 60%
 // of the calls.
 #[yare::parameterized(
-    small = { 6 },
-    grown = { 85 },
-    large = { 295 },
-    planned = { 410 },
+    small = { 6, true },
+    grown = { 85, true },
+    grown_that_collects_nothing = { 85, false },
+    large = { 295, true },
+    large_that_collects_nothing = { 295, false },
+    planned = { 410, true },
 )]
-fn holder_knows_the_calls_of_all_instances_when_it_reports(count: u16) {
+fn holder_knows_the_calls_of_all_instances_when_it_reports(count: u16, by_collector: bool) {
     let seeds = if count > 100 { 1 } else { 3 };
     for seed in 0..seeds {
-        let (part, _) = part_reported(count, seed);
+        let (part, _) = part_reported(count, seed, by_collector);
         assert!((0.97..=1.0).contains(&part), "{part}, seed {seed}");
     }
 }
 
 #[test]
 fn digests_that_an_instance_receives_are_bounded_by_its_data_centre() {
-    let (_, received_max) = part_reported(410, 1);
+    let (_, received_max) = part_reported(410, 1, true);
     let per_centre = 410 / usize::from(CENTRES);
     assert!(received_max <= per_centre + 60, "{received_max}");
 }
