--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -58,20 +58,7 @@
 /// Shortest time after which a report by a peer (another instance) of its calls expires; a few of the
 /// datagrams that carry it may be lost. In large deployments it is longer, since a peer's digests
 /// come more rarely.
-const PEER_LOAD_TTL_MIN: Duration = Duration::from_secs(3);
-
-/// Number of digests of a peer that may be lost before its report expires.
-const PEER_LOAD_DIGESTS: u32 = 2;
-
-/// Interval at which expired reports of peers are removed.
-const PEER_LOADS_EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Largest part that the shared parts of a prompt may be of the rest if its answer is a sample of the
-/// prefill rate although it is not known whether they were cached; half of it is the error.
-const SMALL_SHARED_FRACTION: f64 = 0.35;
-
-/// Interval at which the estimates of all instances are combined.
-const ESTIMATE_INTERVAL: Duration = Duration::from_millis(500);
+pub(crate) const PEER_LOAD_TTL_MIN: Duration = Duration::from_secs(3);
 
 /// Shortest retry delay sent to callers when the limits of the servers are used up.
 const LIMIT_RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
@@ -121,7 +108,7 @@
     /// Latest record of the process; `leaving` never returns to false.
     pub record: ServerRecord,
     /// Latest loads reported by other instances for their calls there.
-    peer_loads: SmallVec<[(InstanceName, Duration, ServerLoad); 8]>,
+    pub(crate) peer_loads: SmallVec<[(InstanceName, Duration, ServerLoad); 8]>,
     /// Attempts of this instance that were placed there and have not ended.
     pub running_here: u32,
     /// Time at which this instance first read the record of its process.
@@ -307,22 +294,22 @@
     /// Hash of the name of this instance.
     pub(crate) own_hash: u64,
     /// Servers on which each peer last reported load, with the time of its report.
-    peer_load_servers: HashMap<InstanceName, (Duration, Vec<ServerName>)>,
+    pub(crate) peer_load_servers: HashMap<InstanceName, (Duration, Vec<ServerName>)>,
     /// Time after which a peer's report expires.
-    peer_load_ttl: Duration,
-    peer_loads_expired_at: Duration,
+    pub(crate) peer_load_ttl: Duration,
+    pub(crate) peer_loads_expired_at: Duration,
     /// Hashes of the names of the active peers.
     pub(crate) peer_hashes: Vec<u64>,
     /// What each peer sends to each service, with the time of its report.
-    peer_work: HashMap<InstanceName, (Duration, HashMap<ServiceName, ServiceWork>)>,
+    pub(crate) peer_work: HashMap<InstanceName, (Duration, HashMap<ServiceName, ServiceWork>)>,
     /// Median of the estimates of all instances for each service, and the time at which it was
     /// taken.
-    prefill_estimates: HashMap<ServiceName, PrefillEstimate>,
-    prefill_estimated_at: Duration,
+    pub(crate) prefill_estimates: HashMap<ServiceName, PrefillEstimate>,
+    pub(crate) prefill_estimated_at: Duration,
     /// Samples of this instance of how fast one engine (model server) of each service prefills.
-    prefill_samples: HashMap<ServiceName, PrefillRate>,
+    pub(crate) prefill_samples: HashMap<ServiceName, PrefillRate>,
     /// Uncached prompt tokens per second that this instance sends to each service.
-    prefill_rates: HashMap<ServiceName, DecayingRate>,
+    pub(crate) prefill_rates: HashMap<ServiceName, DecayingRate>,
     pub(crate) servers: BTreeMap<ServerName, FleetServer>,
 }
 
@@ -456,147 +443,6 @@
         to_probe
     }
 
-    /// Replaces the loads that a peer puts on all servers by those of its latest digest (the state
-    /// that instances send each other); servers missing from `loads` have none.
-    pub fn update_peer_loads(
-        &mut self,
-        now: Duration,
-        peer: &InstanceName,
-        loads: &HashMap<ServerName, ServerLoad>,
-    ) {
-        self.remove_peer_loads(peer);
-        let mut servers = Vec::with_capacity(loads.len());
-        for (id, load) in loads {
-            if let Some(server) = self.servers.get_mut(id) {
-                server.peer_loads.push((peer.clone(), now, *load));
-                servers.push(id.clone());
-            }
-        }
-        self.peer_load_servers.insert(peer.clone(), (now, servers));
-        if now.saturating_sub(self.peer_loads_expired_at) >= PEER_LOADS_EXPIRY_INTERVAL {
-            self.peer_loads_expired_at = now;
-            self.expire_peer_loads(now);
-        }
-    }
-
-    fn remove_peer_loads(&mut self, peer: &InstanceName) {
-        let Some((_, servers)) = self.peer_load_servers.remove(peer) else {
-            return;
-        };
-        for id in servers {
-            if let Some(server) = self.servers.get_mut(&id) {
-                server.peer_loads.retain(|(instance, ..)| instance != peer);
-            }
-        }
-    }
-
-    fn expire_peer_loads(&mut self, now: Duration) {
-        let reports = self.peer_load_servers.iter();
-        let expired: Vec<InstanceName> = reports
-            .filter(|(_, (at, _))| now.saturating_sub(*at) >= self.peer_load_ttl)
-            .map(|(peer, _)| peer.clone())
-            .collect();
-        for peer in &expired {
-            self.remove_peer_loads(peer);
-        }
-    }
-
-    /// Sets the time between two digests of a peer, from which it follows when its reports expire.
-    pub fn set_digest_interval(&mut self, interval: Duration) {
-        self.peer_load_ttl = PEER_LOAD_TTL_MIN.max(interval * PEER_LOAD_DIGESTS);
-    }
-
-    /// Returns what this instance sends to each service, averaged over the last few seconds, and its
-    /// own estimate of the service's engines; reported to the peers.
-    pub fn work(&mut self, now: Duration) -> HashMap<ServiceName, ServiceWork> {
-        let mut work = HashMap::new();
-        for (service, rate) in &mut self.prefill_rates {
-            let samples = self.prefill_samples.get(service);
-            let of_service = ServiceWork {
-                estimate: samples.and_then(PrefillRate::estimate),
-                prefill_tokens_per_s: rate.at(now),
-            };
-            work.insert(service.clone(), of_service);
-        }
-        work
-    }
-
-    /// Adds the time until a call's answer began (`elapsed`) to the samples from which the prefill
-    /// rate is estimated, if it is known how many tokens were prefilled. That is so if the call ran
-    /// on a warm preferred server: the one that its prompt's shared parts are sent to, once this
-    /// instance has sent them there. Other servers may have cached parts that other instances sent,
-    /// unknown to this one; a server that has only just become the preferred one may not have cached
-    /// the parts that are estimated to be there. It is also so, within a sixth, if the shared parts
-    /// are a small part of the prompt: with many instances, each sends most shared parts too rarely
-    /// to know what is cached.
-    pub fn observe_first_event(
-        &mut self,
-        now: Duration,
-        service: &ServiceName,
-        prompt: &Prompt,
-        placed: &PlacedAttempt,
-        elapsed: Duration,
-    ) {
-        let shared = prompt.tokens_in(prompt.shared_count());
-        let own = prompt.tokens.saturating_sub(shared);
-        let uncached = match placed.is_warm_preferred {
-            true => prompt.tokens.saturating_sub(placed.cached_tokens),
-            false if f64::from(shared) <= f64::from(own) * SMALL_SHARED_FRACTION => {
-                own + shared / 2
-            }
-            false => return,
-        };
-        let samples = self.prefill_samples.entry(service.clone()).or_default();
-        samples.observe(uncached, placed.backlog, elapsed);
-        self.update_prefill_estimates(now);
-    }
-
-    /// Takes the median of the estimates of this instance and its peers, each of which sees only a
-    /// few calls in a large deployment.
-    fn update_prefill_estimates(&mut self, now: Duration) {
-        if now.saturating_sub(self.prefill_estimated_at) < ESTIMATE_INTERVAL {
-            return;
-        }
-        self.prefill_estimated_at = now;
-        let mut estimates: HashMap<&ServiceName, Vec<PrefillEstimate>> = HashMap::new();
-        for (service, samples) in &self.prefill_samples {
-            let of_service = estimates.entry(service).or_default();
-            of_service.extend(samples.estimate());
-        }
-        for (_, work) in self.peer_work.values() {
-            for (service, work) in work {
-                let of_service = estimates.entry(service).or_default();
-                of_service.extend(work.estimate);
-            }
-        }
-        for (service, mut estimates) in estimates {
-            if let Some(median) = PrefillEstimate::median(&mut estimates) {
-                self.prefill_estimates.insert(service.clone(), median);
-            }
-        }
-    }
-
-    /// Returns the estimate of one engine (model server) of a service; a default before there are
-    /// enough samples.
-    fn prefill_estimate(&self, service: &ServiceName) -> PrefillEstimate {
-        let estimate = self.prefill_estimates.get(service).copied();
-        estimate.unwrap_or_default()
-    }
-
-    /// Replaces what a peer sends to each service by that of its latest digest.
-    pub fn update_peer_work(
-        &mut self,
-        now: Duration,
-        peer: &InstanceName,
-        work: HashMap<ServiceName, ServiceWork>,
-    ) {
-        self.peer_work.insert(peer.clone(), (now, work));
-        let ttl = self.peer_load_ttl;
-        self.peer_work
-            .retain(|_, (received_at, _)| now.saturating_sub(*received_at) < ttl);
-        self.update_prefill_estimates(now);
-    }
-
     /// Counts a service's servers in all data centres and sums the demand of this instance and of
     /// the peers' reports, as input for [`CapacityPlanner::plan`].
     pub fn capacity_view(&self, now: Duration, service: &ServicePolicy) -> CapacityView {
