--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -234,7 +234,8 @@
             true => Duration::from_millis(250),
             false => Duration::from_millis(10),
         };
-        fleet.observe_first_event(NOW, &service, &prompt, &placed, elapsed);
+        let now = NOW + Duration::from_millis(100 * own);
+        fleet.observe_first_event(now, &service, &prompt, &placed, elapsed);
     }
     let policy = ServicePolicy {
         capacity: None,
@@ -253,8 +254,9 @@
     let mut fleet = fleet("dc-0", 6);
     for shared in 0..200 {
         let prompt = prompt(shared, 1_000 + shared);
-        let placed = place(&mut fleet, NOW + Duration::from_secs(shared), &prompt, &[]);
-        fleet.observe_first_event(NOW, &service, &prompt, &placed, Duration::from_millis(300));
+        let now = NOW + Duration::from_secs(shared);
+        let placed = place(&mut fleet, now, &prompt, &[]);
+        fleet.observe_first_event(now, &service, &prompt, &placed, Duration::from_millis(300));
     }
     let policy = ServicePolicy {
         capacity: None,
