Do not let causes hide behind each other where few servers are left

Change: crashes that are not at the same moment (100 ms) make a chance of at most 0.1, so that six crashes without an answer suffice however many others there are.

--- a/src/part_quarantine.rs
+++ b/src/part_quarantine.rs
@@ -58,6 +58,10 @@
 /// Time before and after a crash over which the rate of crashes is taken.
 const RATE_TIME: Duration = Duration::from_secs(5);
 
+/// Largest chance that crashes are assumed to have that are not at the same moment. Where several
+/// causes crash the few servers that are left, each would otherwise hide behind the others.
+const SPREAD_CHANCE_MAX: f64 = 0.1;
+
 /// Factor for the rounding of products of chances.
 const CHANCE_ROUNDING: f64 = 1.000_001;
 
@@ -528,11 +532,15 @@
     /// [`RATE_TIME`] before and after.
     fn chance(&self, met: &MetCrash, own: &[MetCrash]) -> f64 {
         let before = met.ran_for.max(SAME_TIME);
-        let at_that_time = self.count(met, own, before, SAME_TIME);
-        let around = self.count(met, own, RATE_TIME, RATE_TIME);
+        let servers = f64::from(met.servers.max(1));
+        let at_once = self.count(met, own, SAME_TIME, SAME_TIME) / servers;
+        let while_it_ran = self.count(met, own, before, SAME_TIME) / servers;
+        let around = self.count(met, own, RATE_TIME, RATE_TIME) / servers;
         let part = (before + SAME_TIME).as_secs_f64() / (RATE_TIME * 2).as_secs_f64();
-        let expected = at_that_time.max(around * part.min(1.0));
-        (expected / f64::from(met.servers.max(1))).clamp(CHANCE_MIN, 1.0)
+        let spread = while_it_ran.max(around * part.min(1.0));
+        at_once
+            .max(spread.min(SPREAD_CHANCE_MAX))
+            .clamp(CHANCE_MIN, 1.0)
     }
 
     fn count(&self, met: &MetCrash, own: &[MetCrash], before: Duration, after: Duration) -> f64 {
--- a/tests/decisions/part_quarantine.rs
+++ b/tests/decisions/part_quarantine.rs
@@ -607,3 +607,35 @@
         assert_eq!(needed, expected.min(100), "{others}");
     }
 }
+
+// Two parts crash the servers by turns, so that few are left, and other servers are lost beside them.
+#[test]
+fn two_causes_on_few_servers_do_not_hide_behind_each_other() {
+    let mut quarantine = PartQuarantine::default();
+    let mut refused_after = [0_u64; 2];
+    for number in 0..40_u64 {
+        let at = NOW + Duration::from_millis(number * 250);
+        let cause = [CAUSE, OTHER_CAUSE][number as usize % 2];
+        let own = 10_000 + number;
+        let broken = report(at, number, &[COMMON, cause, own]).with_call(own);
+        let broken = broken.begun(true).ran_for(SECOND / 4);
+        quarantine.record_crash(at, broken.at_service(SERVICE, 4));
+        let lost = report(at + SECOND / 8, 1_000 + number, &[COMMON, own + 500]);
+        let lost = lost.with_call(own + 500).begun(false).ran_for(SECOND / 4);
+        quarantine.record_crash(at + SECOND / 8, lost.at_service(SERVICE, 4));
+        quarantine.record_answer(at + SECOND / 7, &[COMMON], 7);
+        for (index, cause) in [CAUSE, OTHER_CAUSE].into_iter().enumerate() {
+            let is_refused = is_refused(&quarantine, at + SECOND / 7, &[COMMON, cause, 8]);
+            if refused_after[index] == 0 && is_refused {
+                refused_after[index] = number / 2 + 1;
+            }
+        }
+    }
+    let allowed = 1..=CRASHES_ALLOWED + 1;
+    assert!(
+        refused_after
+            .iter()
+            .all(|crashes| allowed.contains(crashes)),
+        "{refused_after:?}"
+    );
+}
