--- a/src/part_quarantine.rs
+++ b/src/part_quarantine.rs
@@ -23,9 +23,9 @@
 //! requests, some break off that often by chance. So each crash counts by the chance that a request
 //! without any influence would have met it: the fraction of the service's servers that crashed while
 //! the request ran and did not run it. A part is refused once the product of these chances is as
-//! small as [`CRASHES_TO_REFUSE`] crashes make it that no other server shared. The number of
-//! requests, servers and instances does not enter, so that the rate of wrong refusals does not grow
-//! with them other than in proportion to the parts that are suspected.
+//! small as [`CRASHES_TO_REFUSE`] crashes make it that no other server shared. Crashes that are not
+//! at the same moment make a chance of at most [`SPREAD_CHANCE_MAX`], so that the chance of a wrong
+//! refusal is larger than that product while more of the servers than this crash beside a request.
 //!
 //! Sound requests may be refused if servers crash for another reason several times in a row and no
 //! answer comes between. So one request is tried after a while, by the instance that saw the last
