review: stand-ins for the cases of the review

Stand-ins for the platform's store, workers and clients, with which the scripts of the review start the deployed program as separate processes.

--- /dev/null
+++ b/review/src/main.rs
@@ -0,0 +1,35 @@
+//! Runs one case of the review: `cases NAME DIRECTORY`, from the root of the repository. Exits with 1
+//! if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+
+mod client;
+mod http;
+mod instance;
+mod memory;
+mod platform;
+mod rank;
+mod record;
+mod worker;
+
+use std::path::PathBuf;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let name = arguments.next().unwrap_or_default();
+    let directory = PathBuf::from(arguments.next().unwrap_or_else(|| ".".to_owned()));
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let temp = std::env::temp_dir().join(format!("review-{name}-{}", std::process::id()));
+    if let Err(error) = std::fs::create_dir_all(&temp) {
+        eprintln!("{}: {error}", temp.display());
+        std::process::exit(2);
+    }
+    let code = match name.as_str() {
+        "memory" => memory::run(&directory, &temp, trouble),
+        "rank" => rank::run(&directory, &temp, trouble),
+        _ => {
+            eprintln!("unknown case {name:?}");
+            2
+        }
+    };
+    let _ = std::fs::remove_dir_all(&temp);
+    std::process::exit(code);
+}
