review: a planned stop cuts streams that their worker would have completed

Cause: a resumable stream is taken away from a worker that is silent for three target gaps, before the next one has accepted it. If that one rejects it and no attempt is left, the answer is broken off.

Added: case 3, a script, and its stand-in for a model worker. It breaks LOST around planned work. The stand-ins choose ports below those of outgoing connections and report a panic as a case that couldn't run.

--- a/review/src/client.rs
+++ b/review/src/client.rs
@@ -59,6 +59,21 @@
         true
     }
 
+    /// Sends a request for a stream. Returns false if the connection ended meanwhile.
+    pub fn send_stream(&mut self, id: &str, deadline_ms: u32) -> bool {
+        let request = format!(
+            "POST /plans/new HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {id}\r\nX-Model: m\r\n\
+             X-Token-Counts: 900,30\r\nX-Prompt-Prefix: 5c1e07a2:600,{:08x}:300\r\n\
+             X-Request-Deadline: {deadline_ms}\r\nAuthorization: Bearer {}\r\n\
+             Content-Length: 4\r\n\r\nplan",
+            self.host,
+            id.bytes()
+                .fold(0_u32, |hash, byte| hash.wrapping_mul(31) + u32::from(byte)),
+            self.key
+        );
+        self.stream.write_all(request.as_bytes()).is_ok()
+    }
+
     /// Reads the answer; `None` if the connection ended without one.
     pub fn receive(&mut self) -> Option<Response> {
         read_response(&mut self.stream, &mut self.buffer)
--- a/review/src/instance.rs
+++ b/review/src/instance.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::read_response;
@@ -30,12 +31,17 @@
     has_run: bool,
 }
 
+/// Ports from which [`free_port`] chooses: below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 20_000..31_000;
+
+/// Finds a port that is free for TCP and for UDP, for which the program uses the same number.
 pub fn free_port(ip: &str) -> u16 {
-    // The program uses the number for TCP and for UDP.
+    static CHOSEN: AtomicU16 = AtomicU16::new(0);
+    let offset = (std::process::id() % 1_000) as u16 * 11;
     loop {
-        let tcp = TcpListener::bind((ip, 0)).expect("a free port");
-        let port = tcp.local_addr().expect("address").port();
-        if UdpSocket::bind((ip, port)).is_ok() {
+        let number = CHOSEN.fetch_add(1, Ordering::SeqCst);
+        let port = PORTS.start + (offset + number) % (PORTS.end - PORTS.start);
+        if TcpListener::bind((ip, port)).is_ok() && UdpSocket::bind((ip, port)).is_ok() {
             return port;
         }
     }
@@ -134,6 +140,13 @@
         self.child.as_ref().map_or(0, Child::id)
     }
 
+    /// Sends a signal to the process, by its id.
+    pub fn signal(&self, signal: &str) {
+        let _ = Command::new("kill")
+            .args([signal, &self.pid().to_string()])
+            .status();
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -2,12 +2,14 @@
 //! if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod client;
+mod engine;
 mod http;
 mod instance;
 mod memory;
 mod platform;
 mod rank;
 mod record;
+mod stall;
 mod worker;
 
 use std::path::PathBuf;
@@ -22,14 +24,17 @@
         eprintln!("{}: {error}", temp.display());
         std::process::exit(2);
     }
-    let code = match name.as_str() {
+    // A panic unwinds through the instances, which are killed, so that none is left.
+    let case = || match name.as_str() {
         "memory" => memory::run(&directory, &temp, trouble),
         "rank" => rank::run(&directory, &temp, trouble),
+        "stall" => stall::run(&directory, &temp, trouble),
         _ => {
             eprintln!("unknown case {name:?}");
             2
         }
     };
+    let code = std::panic::catch_unwind(std::panic::AssertUnwindSafe(case)).unwrap_or(2);
     let _ = std::fs::remove_dir_all(&temp);
     std::process::exit(code);
 }
--- a/review/src/memory.rs
+++ b/review/src/memory.rs
@@ -82,7 +82,7 @@
     });
     let mut clients = Vec::new();
     let front = instance.front;
-    let mut begin = |numbers: std::ops::Range<usize>, clients: &mut Vec<_>| {
+    let begin = |numbers: std::ops::Range<usize>, clients: &mut Vec<_>| {
         for number in numbers {
             let shared = shared.clone();
             clients.push(thread::spawn(move || place_orders(number, front, &shared)));
--- a/review/src/platform.rs
+++ b/review/src/platform.rs
@@ -217,3 +217,19 @@
          \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":{tenants}}}"
     )
 }
+
+/// Configuration with one route of streams, which may be resumed.
+pub fn stream_config(version: u64) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-plans\",\"host\":\"plans.example\",\
+         \"pathPrefix\":\"/plans/\",\"kind\":\"stream\",\"timeoutMs\":8000,\
+         \"targetLatencyMs\":1000,\"priority\":0,\"service\":\"roll-llm\",\"maxAttempts\":2,\
+         \"anonymous\":false,\"sticky\":true,\"resumable\":true,\"gapTargetMs\":400}}],\
+         \"services\":[{{\"name\":\"roll-llm\",\"healthPath\":\"/health\",\
+         \"maxConnections\":480,\"protocol\":\"h1\",\"tls\":false,\
+         \"engine\":{{\"slots\":96,\"kvCapacityTokens\":344615}}}}],\
+         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
+         \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
+         \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"key-of-hule930\"],\"priority\":1}}]}}"
+    )
+}
