review: a key that was taken away works again after a drill

Cause: an instance that has just started takes the configuration of a store that came back from a copy for the newest, after one second, though no peer has told it a version and the operator has not written again.

It breaks CONFIG (strictRevoke). It needs two disruptions at once: the drill and the kill of all instances.

--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -2,6 +2,7 @@
 //! if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod client;
+mod drill;
 mod engine;
 mod http;
 mod instance;
@@ -26,6 +27,7 @@
     }
     // A panic unwinds through the instances, which are killed, so that none is left.
     let case = || match name.as_str() {
+        "drill" => drill::run(&directory, &temp, trouble),
         "memory" => memory::run(&directory, &temp, trouble),
         "rank" => rank::run(&directory, &temp, trouble),
         "stall" => stall::run(&directory, &temp, trouble),
--- a/review/src/platform.rs
+++ b/review/src/platform.rs
@@ -9,7 +9,7 @@
 
 use crate::http::{Request, read_request};
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     newest: BTreeMap<String, (u64, Vec<u8>)>,
     records: Vec<Vec<u8>>,
@@ -17,9 +17,16 @@
 
 #[derive(Default)]
 struct State {
+    /// Number of times that the store came back from a copy.
+    era: u64,
+    /// True while the store is away: it closes connections without an answer.
+    is_away: bool,
     topics: BTreeMap<String, Topic>,
 }
 
+/// Contents of the store at one time.
+pub struct Copy(BTreeMap<String, Topic>);
+
 /// Store and API behind one address.
 #[derive(Clone)]
 pub struct Platform {
@@ -52,8 +59,31 @@
         let _ = self.append(topic, None, &[record]);
     }
 
+    /// Returns a copy of what the store holds.
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.0.lock().expect("store").topics.clone())
+    }
+
+    /// Takes the store away.
+    pub fn leave(&self) {
+        self.state.0.lock().expect("store").is_away = true;
+        self.state.1.notify_all();
+    }
+
+    /// Brings the store back from a copy. What was written since is gone, and offsets are given out
+    /// again.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.state.0.lock().expect("store");
+        state.topics = copy.0;
+        state.era += 1;
+        state.is_away = false;
+    }
+
     fn append(&self, name: &str, at: Option<u64>, records: &[Vec<u8>]) -> Result<u64, u64> {
         let mut state = self.state.0.lock().expect("store");
+        if state.is_away {
+            return Err(0);
+        }
         let topic = state.topics.entry(name.to_owned()).or_default();
         let first = topic.records.len() as u64;
         if at.is_some_and(|at| at != first) {
@@ -80,8 +110,15 @@
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer) {
             let (status, body) = self.respond(&request);
+            let era = {
+                let state = self.state.0.lock().expect("store");
+                if state.is_away {
+                    return;
+                }
+                state.era
+            };
             let head = format!(
-                "HTTP/1.1 {status} S\r\nStore-Era: 0\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} S\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
             let mut response = head.into_bytes();
@@ -172,7 +209,8 @@
                 return (410, b"{\"first\":0}".to_vec());
             }
             let left = until.saturating_duration_since(Instant::now());
-            if from < topic.records.len() || left.is_zero() {
+            let has_records = from < topic.records.len();
+            if has_records || left.is_zero() || state.is_away {
                 break;
             }
             state = self.state.1.wait_timeout(state, left).expect("store").0;
