--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod http;
 mod instance;
+mod keys;
 mod memory;
 mod platform;
 mod rank;
