review: a planned stop cuts uploads that a worker's 100 has stopped

Cause: the writing of a request's body ends at the first byte from the server, also at that of an informational head, after which the server waits for the rest.

Added: case 4, a script; what was case 4 is case 5 now, since it needs two disruptions. The case breaks LOST around planned work.

--- a/review/src/drill.rs
+++ b/review/src/drill.rs
@@ -1,4 +1,4 @@
-//! Case 4: the store comes back from an older copy while all instances are killed.
+//! Case 5: the store comes back from an older copy while all instances are killed.
 
 use std::path::Path;
 use std::thread;
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -12,6 +12,7 @@
 mod rank;
 mod record;
 mod stall;
+mod upload;
 mod worker;
 
 use std::path::PathBuf;
@@ -31,6 +32,7 @@
         "drill" => drill::run(&directory, &temp, trouble),
         "memory" => memory::run(&directory, &temp, trouble),
         "rank" => rank::run(&directory, &temp, trouble),
+        "upload" => upload::run(&directory, &temp, trouble),
         "stall" => stall::run(&directory, &temp, trouble),
         _ => {
             eprintln!("unknown case {name:?}");
