review: each script names its record; case 5 can leave one disruption out

Cause: the path of record.txt stood in the stand-ins only, and the claim of case 5 spoke of each disruption alone without a run.

--- a/review/src/drill.rs
+++ b/review/src/drill.rs
@@ -24,8 +24,8 @@
 /// Time from the store's return until the operator has written again.
 const WRITTEN_AGAIN: Duration = Duration::from_secs(2);
 
-pub fn run(directory: &Path, temp: &Path, trouble: bool) -> i32 {
-    let record = Record::create(directory);
+pub fn run(record: &Path, temp: &Path, trouble: bool) -> i32 {
+    let record = Record::create(record);
     let platform = Platform::start();
     let tenants =
         |keys: &str| format!("[{{\"name\":\"hule930\",\"apiKeys\":[{keys}],\"priority\":1}}]");
@@ -46,14 +46,23 @@
     let acknowledged = Instant::now();
     record.say("operator: version 12 takes key-2 away; acknowledged");
     thread::sleep(COPY_AGE - REVOKE_AFTER_COPY);
-    if trouble {
-        record.say("platform: the store is away, and all instances are killed");
+    // `PART` in the environment leaves one of the two disruptions out.
+    let part = std::env::var("PART").unwrap_or_default();
+    let is_killed = trouble && part != "drill";
+    let is_drill = trouble && part != "kill";
+    if is_drill {
+        record.say("platform: the store is away");
         platform.leave();
+    }
+    if is_killed {
+        record.say("platform: all instances are killed");
         deployment.instances.iter_mut().for_each(Instance::kill);
         thread::sleep(DOWN);
         deployment.instances.iter_mut().for_each(Instance::start);
         record.line("platform: starts the instances again");
-        thread::sleep(AWAY - DOWN);
+    }
+    if is_drill {
+        thread::sleep(if is_killed { AWAY - DOWN } else { AWAY });
         platform.come_back(copy);
         record.say("platform: the store is back from a copy of before version 12");
         thread::sleep(WRITTEN_AGAIN);
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs one case of the review: `cases NAME DIRECTORY`, from the root of the repository. Exits with 1
+//! Runs one case of the review: `cases NAME RECORD`, from the root of the repository. Exits with 1
 //! if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod client;
@@ -20,7 +20,7 @@
 fn main() {
     let mut arguments = std::env::args().skip(1);
     let name = arguments.next().unwrap_or_default();
-    let directory = PathBuf::from(arguments.next().unwrap_or_else(|| ".".to_owned()));
+    let record = PathBuf::from(arguments.next().unwrap_or_else(|| "record.txt".to_owned()));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let temp = std::env::temp_dir().join(format!("review-{name}-{}", std::process::id()));
     if let Err(error) = std::fs::create_dir_all(&temp) {
@@ -29,11 +29,11 @@
     }
     // A panic unwinds through the instances, which are killed, so that none is left.
     let case = || match name.as_str() {
-        "drill" => drill::run(&directory, &temp, trouble),
-        "memory" => memory::run(&directory, &temp, trouble),
-        "rank" => rank::run(&directory, &temp, trouble),
-        "upload" => upload::run(&directory, &temp, trouble),
-        "stall" => stall::run(&directory, &temp, trouble),
+        "drill" => drill::run(&record, &temp, trouble),
+        "memory" => memory::run(&record, &temp, trouble),
+        "rank" => rank::run(&record, &temp, trouble),
+        "upload" => upload::run(&record, &temp, trouble),
+        "stall" => stall::run(&record, &temp, trouble),
         _ => {
             eprintln!("unknown case {name:?}");
             2
--- a/review/src/memory.rs
+++ b/review/src/memory.rs
@@ -41,8 +41,8 @@
     record: Record,
 }
 
-pub fn run(directory: &Path, temp: &Path, trouble: bool) -> i32 {
-    let record = Record::create(directory);
+pub fn run(record: &Path, temp: &Path, trouble: bool) -> i32 {
+    let record = Record::create(record);
     let platform = Platform::start();
     platform.put(
         "keyed.op",
--- a/review/src/rank.rs
+++ b/review/src/rank.rs
@@ -11,8 +11,8 @@
 /// Rank of the tenant that is added; `RANK` in the environment replaces it.
 const RANK: &str = "1000";
 
-pub fn run(directory: &Path, temp: &Path, trouble: bool) -> i32 {
-    let record = Record::create(directory);
+pub fn run(record: &Path, temp: &Path, trouble: bool) -> i32 {
+    let record = Record::create(record);
     let platform = Platform::start();
     let rank = std::env::var("RANK").unwrap_or_else(|_| RANK.to_owned());
     let added =
--- a/review/src/record.rs
+++ b/review/src/record.rs
@@ -13,8 +13,8 @@
 }
 
 impl Record {
-    pub fn create(directory: &Path) -> Self {
-        let file = File::create(directory.join("record.txt")).expect("record.txt");
+    pub fn create(path: &Path) -> Self {
+        let file = File::create(path).expect("the record");
         Self {
             begun: Instant::now(),
             file: Arc::new(Mutex::new(file)),
--- a/review/src/stall.rs
+++ b/review/src/stall.rs
@@ -27,8 +27,8 @@
     whole: bool,
 }
 
-pub fn run(directory: &Path, temp: &Path, trouble: bool) -> i32 {
-    let record = Record::create(directory);
+pub fn run(record: &Path, temp: &Path, trouble: bool) -> i32 {
+    let record = Record::create(record);
     let platform = Platform::start();
     platform.put("keyed.op", "config", &stream_config(7));
     let engine = Engine::start(&platform, &record, "w-0", "tas-hobart", PAUSE);
--- a/review/src/upload.rs
+++ b/review/src/upload.rs
@@ -108,8 +108,8 @@
     }
 }
 
-pub fn run(directory: &Path, temp: &Path, trouble: bool) -> i32 {
-    let record = Record::create(directory);
+pub fn run(record: &Path, temp: &Path, trouble: bool) -> i32 {
+    let record = Record::create(record);
     let platform = Platform::start();
     let tenants = "[{\"name\":\"hule930\",\"apiKeys\":[\"key-1\"],\"priority\":1}]";
     platform.put("keyed.op", "config", &config(7, tenants));
