Reject calls that their service cannot answer in time

Cause: Fleet::place returns the cheapest server, however full, so that in a burst calls of all kinds wait at the servers until their deadline, and most work is done for answers that come late.

Before the first attempt of a call is placed, it is rejected with 503 lack_of_capacity if the expected wait leaves no time for the answer, or if calls of the service have different priorities, it is not among the most urgent ones, and the wait is over its part of the route's target. A plain call is rejected if all servers hold over 4 calls a slot until after its deadline. Nothing is rejected while an idle server could run it in time. Fleet::place is split into an estimate and a commit, so that a rejected call leaves no load. Services with one priority are served as before.

Not measured under load yet.

--- a/src/error.rs
+++ b/src/error.rs
@@ -130,6 +130,20 @@
         "idempotency key was used with a different body; use a new key for a new call"
     ))]
     KeyReused,
+    /// The service cannot answer the call in time at present, or only at the expense of more urgent
+    /// calls, so that the call was not sent.
+    #[snafu(display(
+        "{subject} lacks capacity for this call ({reason}), which was not run; retry after \
+         {retry_after_ms} ms"
+    ))]
+    LackOfCapacity {
+        /// Why the call was rejected.
+        reason: &'static str,
+        /// Time in milliseconds until a retry can succeed.
+        retry_after_ms: u64,
+        /// Service that the request was addressed to.
+        subject: Subject,
+    },
     /// A request to the log service failed, or its response cannot be used.
     #[snafu(display(
         "log service: {reason}; the request will be retried; check the platform's status"
@@ -388,6 +402,7 @@
             Self::KeyFormat => (400, "key_format"),
             Self::KeyOutsideWindow { .. } => (409, "key_outside_window"),
             Self::KeyReused => (422, "key_reused"),
+            Self::LackOfCapacity { .. } => (503, "lack_of_capacity"),
             Self::NoBackendServer { .. } => (503, "no_backend_server"),
             Self::NotRun { cause } | Self::OutcomeUnknown { cause } => cause.status(),
             Self::Overloaded { .. } => (503, "overloaded"),
@@ -425,6 +440,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::AccountLimit { retry_after_ms, .. }
+            | Self::LackOfCapacity { retry_after_ms, .. }
             | Self::NoBackendServer { retry_after_ms, .. }
             | Self::Overloaded { retry_after_ms, .. }
             | Self::RetryBudgetSpent { retry_after_ms, .. }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -380,6 +380,8 @@
         let now = boot_time();
         fleet.record_answer(now, now.saturating_sub(elapsed), &attempt.placed.server);
         let Some(prompt) = &self.call.prompt else {
+            let mut overload = self.serving.overload.borrow_mut();
+            overload.record_plain_answer(&self.service, attempt.placed.calls_per_slot, elapsed);
             return;
         };
         fleet.observe_first_event(now, &self.service, prompt, &attempt.placed, elapsed);
@@ -507,8 +509,7 @@
             suspect: false,
             tried: &self.tried,
         };
-        let placed = self.serving.fleet.borrow_mut().place(now, query);
-        let placed = match placed {
+        let placed = match self.place_admitted(now, &query) {
             Ok(placed) => placed,
             Err(_) if self.may_have_run => return Err(self.lost_error("no server left".to_owned())),
             Err(error) => return Err(error),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -152,6 +152,11 @@
         self.running_here + of_peers
     }
 
+    /// Returns the calls that run there for each of its slots.
+    pub(crate) fn calls_per_slot(&self) -> f64 {
+        f64::from(self.running()) / f64::from(self.record.slots.max(1))
+    }
+
     /// Remaining time of the prefill (the processing before the first token is generated) of the
     /// prompts sent by this instance.
     fn own_backlog(&self, now: Duration) -> Duration {
@@ -171,7 +176,7 @@
 
     /// Returns the number of prompt tokens that the server has to prefill because they are not in
     /// its cache, as far as this instance knows.
-    fn tokens_to_prefill(
+    pub(crate) fn tokens_to_prefill(
         &self,
         prompt: &Prompt,
         prefixes: &PrefixHashes,
@@ -265,6 +270,8 @@
     pub backlog: Duration,
     /// Prompt tokens estimated to be in the server's cache; 0 for calls without a prompt.
     pub cached_tokens: u32,
+    /// Calls that run there for each of its slots, including this one.
+    pub calls_per_slot: f64,
     /// Data centre of the server; the attempt may be given up if it becomes unreachable.
     pub data_centre: DataCentreName,
     /// True if the server is the preferred one for the prompt's shared parts, those that other
@@ -277,6 +284,17 @@
     pub wait_estimate: Duration,
 }
 
+/// Server that an attempt would be placed on, for [`Fleet::commit`].
+#[derive(Debug)]
+pub struct PlacementEstimate {
+    affinity: PrefixAffinity,
+    prefixes: PrefixHashes,
+    /// Name of the server.
+    pub server: ServerName,
+    /// Cost of the server for this call, as in [`PlacedAttempt::wait_estimate`].
+    pub wait: Duration,
+}
+
 #[derive(Debug, Default)]
 struct CentreState {
     /// Consecutive probes that failed since anything was received.
@@ -485,25 +503,40 @@
     /// want no calls from this instance for a while, and with [`Error::ServerLimits`] if their limits
     /// leave this instance no call.
     pub fn place(&mut self, now: Duration, query: PlacementQuery<'_>) -> Result<PlacedAttempt> {
+        let estimate = self.estimate(now, &query)?;
+        Ok(self.commit(now, &query, &estimate))
+    }
+
+    /// Chooses the server that [`place`](Self::place) would choose, without placing the attempt.
+    pub fn estimate(
+        &mut self,
+        now: Duration,
+        query: &PlacementQuery<'_>,
+    ) -> Result<PlacementEstimate> {
         let prefixes = query.prompt.map(Prompt::prefixes).unwrap_or_default();
         // If no server is known to be healthy, an unhealthy one is better than none.
-        let healthy_only = self.has_healthy_server(now, &query);
-        let affinity = self.prefix_affinity(now, &query, &prefixes, healthy_only);
+        let healthy_only = self.has_healthy_server(now, query);
+        let affinity = self.prefix_affinity(now, query, &prefixes, healthy_only);
         let mut best: Option<(f64, ServerName)> = None;
         for server in self.servers.values() {
-            if !self.is_eligible(server, now, &query, healthy_only) {
+            if !self.is_eligible(server, now, query, healthy_only) {
                 continue;
             }
-            let cost = self.cost_ms(now, server, &query, &prefixes, &affinity);
+            let cost = self.cost_ms(now, server, query, &prefixes, &affinity);
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 best = Some((cost, server.record.id.clone()));
             }
         }
-        let Some((cost_ms, id)) = best else {
-            self.count_unplaced(now, &query);
-            return Err(self.no_server_error(now, &query));
+        let Some((cost_ms, server)) = best else {
+            self.count_unplaced(now, query);
+            return Err(self.no_server_error(now, query));
         };
-        Ok(self.commit(now, &id, &query, &prefixes, &affinity, cost_ms))
+        Ok(PlacementEstimate {
+            affinity,
+            prefixes,
+            server,
+            wait: Duration::from_secs_f64(cost_ms / 1_000.0),
+        })
     }
 
     /// Returns true if [`place`](Self::place) would choose a server that is healthy.
@@ -579,7 +612,7 @@
 
     /// Adds the prompt tokens of a call that no server could take, except those of its shared
     /// parts, to the service's demand, so that servers are ordered for it.
-    fn count_unplaced(&mut self, now: Duration, query: &PlacementQuery<'_>) {
+    pub(crate) fn count_unplaced(&mut self, now: Duration, query: &PlacementQuery<'_>) {
         let Some(prompt) = query.prompt else {
             return;
         };
@@ -588,15 +621,21 @@
         rate.add(now, f64::from(unshared));
     }
 
-    fn commit(
+    /// Adds an attempt to those that run on the server of `estimate`, until
+    /// [`end_attempt`](Self::end_attempt) is called. No other change to the fleet may come between
+    /// the estimate and this call.
+    pub fn commit(
         &mut self,
         now: Duration,
-        id: &ServerName,
         query: &PlacementQuery<'_>,
-        prefixes: &PrefixHashes,
-        affinity: &PrefixAffinity,
-        cost_ms: f64,
+        estimate: &PlacementEstimate,
     ) -> PlacedAttempt {
+        let PlacementEstimate {
+            affinity,
+            prefixes,
+            server: id,
+            wait,
+        } = estimate;
         let tokens_per_ms = self.prefill_estimate(query.service).tokens_per_ms;
         let server = self
             .servers
@@ -612,10 +651,11 @@
             address: server.record.address,
             backlog,
             cached_tokens: 0,
+            calls_per_slot: server.calls_per_slot(),
             data_centre: server.record.data_centre.clone(),
             is_warm_preferred: false,
             server: id.clone(),
-            wait_estimate: Duration::from_secs_f64(cost_ms / 1_000.0),
+            wait_estimate: *wait,
         };
         let Some(prompt) = query.prompt else {
             return placed;
@@ -638,7 +678,7 @@
     /// among the healthy servers known for [`WARM_UP_TIME`]. Each is the one with the highest
     /// rendezvous hash of its name and the parts. Instances that see the same servers agree on both
     /// without messages.
-    fn prefix_affinity(
+    pub(crate) fn prefix_affinity(
         &self,
         now: Duration,
         query: &PlacementQuery<'_>,
@@ -674,7 +714,7 @@
         affinity
     }
 
-    fn cost_ms(
+    pub(crate) fn cost_ms(
         &self,
         now: Duration,
         server: &FleetServer,
@@ -687,8 +727,7 @@
             cost += CROSS_CENTRE_COST_MS;
         }
         let Some(prompt) = query.prompt else {
-            let load = f64::from(server.running()) / f64::from(server.record.slots.max(1));
-            return cost + load * PLAIN_CALL_COST_MS;
+            return cost + server.calls_per_slot() * PLAIN_CALL_COST_MS;
         };
         let backlog = server.backlog(now);
         let tokens = server.tokens_to_prefill(prompt, prefixes, affinity);
@@ -723,7 +762,7 @@
 
     /// Returns true if the call may be sent to a server now: it could run it, and the server takes
     /// calls and its limit leaves this instance one; with `healthy_only`, it must be healthy too.
-    fn is_eligible(
+    pub(crate) fn is_eligible(
         &self,
         server: &FleetServer,
         now: Duration,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -11,6 +11,7 @@
 /// Metric instruments of one instance; clones record to the same instruments.
 #[derive(Clone)]
 pub struct Metrics {
+    admissions: Counter<u64>,
     call_ms: Histogram<f64>,
     centre_cut_offs: Counter<u64>,
     connection_errors: Counter<u64>,
@@ -47,6 +48,7 @@
         };
         let meter = provider.meter("ebonyspread");
         Self {
+            admissions: meter.u64_counter("admissions").build(),
             call_ms: meter
                 .f64_histogram("call_ms")
                 .with_boundaries(vec![
@@ -78,6 +80,15 @@
         }
     }
 
+    /// Counts a decision whether a call is sent although its service may lack capacity.
+    pub fn admission(&self, outcome: AdmissionOutcome) {
+        let labels = [
+            KeyValue::new("outcome", outcome.as_str()),
+            KeyValue::new("reason", outcome.reason()),
+        ];
+        self.admissions.add(1, &labels);
+    }
+
     /// Records the time from a call's arrival to the end of its response.
     pub fn call(&self, elapsed: Duration) {
         self.call_ms.record(elapsed.as_secs_f64() * 1_000.0, &[]);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,6 +6,8 @@
 
 use super::*;
 
+use std::collections::BTreeSet;
+
 /// How often a call of a route may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallKind {
@@ -142,6 +144,10 @@
     pub version: PolicyVersion,
     /// Index into `accounts` of the account that holds a key.
     accounts_by_key: HashMap<SmolStr, usize>,
+    /// Priorities that accounts set, and `None` if one sets none.
+    account_priorities: BTreeSet<Option<u32>>,
+    /// Priorities of the calls of each service.
+    service_priorities: HashMap<ServiceName, ServicePriorities>,
 }
 
 impl Policy {
@@ -159,6 +165,7 @@
         let position =
             host_routes.partition_point(|known| known.path_prefix.len() >= route.path_prefix.len());
         host_routes.insert(position, Arc::new(route));
+        self.update_service_priorities();
     }
 
     /// Adds a service, or replaces the one with the same name.
@@ -173,9 +180,49 @@
             self.accounts_by_key
                 .insert(key.clone(), self.accounts.len());
         }
+        if self.account_priorities.insert(account.priority) {
+            self.update_service_priorities();
+        }
         self.accounts.push(account);
     }
 
+    fn update_service_priorities(&mut self) {
+        let mut by_service: HashMap<ServiceName, ServicePriorities> = HashMap::new();
+        for route in self.routes.values().flatten() {
+            let mut priorities: SmallVec<[u32; 4]> = SmallVec::new();
+            match route.anonymous || self.account_priorities.is_empty() {
+                true => priorities.push(route.priority),
+                false => priorities.extend(
+                    self.account_priorities
+                        .iter()
+                        .map(|priority| priority.unwrap_or(route.priority)),
+                ),
+            }
+            for (service, _) in &route.services {
+                let of_service = by_service.entry(service.clone()).or_default();
+                for priority in &priorities {
+                    of_service.add(*priority, route.target_latency);
+                }
+            }
+        }
+        self.service_priorities = by_service;
+    }
+
+    /// Returns the priorities of the calls of a service; `None` if no route leads to it.
+    pub fn service_priorities(&self, service: &str) -> Option<&ServicePriorities> {
+        self.service_priorities.get(service)
+    }
+
+    /// Returns true if the calls of at least one service with engines have different priorities.
+    pub fn has_priorities(&self) -> bool {
+        self.services.values().any(|service| {
+            service.engine.is_some()
+                && self
+                    .service_priorities(&service.name)
+                    .is_some_and(ServicePriorities::has_several)
+        })
+    }
+
     /// Finds the route of a host with the longest prefix that the URL path starts with.
     pub fn route_for(&self, host: &str, path: &str) -> Option<&Arc<PolicyRoute>> {
         let host_routes = self.routes.get(host)?;
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -115,6 +115,8 @@
     pub limits: RefCell<UsageLimits>,
     /// Metrics that the status listener serves.
     pub metrics: Metrics,
+    /// Decides whether a call is sent while its service lacks capacity.
+    pub overload: RefCell<OverloadAdmission>,
     /// Time since boot at which a peer last read a topic of the log from this instance; `None` if
     /// none has.
     peer_read_at: Cell<Option<Duration>>,
@@ -177,6 +179,7 @@
             life: unix.as_millis() as u64,
             limits: RefCell::new(UsageLimits::new(settings.limit_window, unknown_until, seed)),
             metrics,
+            overload: RefCell::default(),
             peer_read_at: Cell::default(),
             peer_told: Cell::default(),
             peers: RefCell::default(),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -20,6 +20,8 @@
 mod keyed_view;
 #[path = "decisions/lease.rs"]
 mod lease;
+#[path = "decisions/overload_admission.rs"]
+mod overload_admission;
 #[path = "decisions/part_quarantine.rs"]
 mod part_quarantine;
 #[path = "decisions/peers.rs"]
