Count unanswered prompts as the queue of a server where routes have priorities

The estimated backlog of an engine was the sum of what each instance took to be left of its own prompts. Each instance let its part decay in real time, as if the engine worked on all parts at once, so that with 69 instances the sum was far too small in a burst.

For services whose routes have two or more priorities, the prompt tokens of unanswered calls are counted by priority class, and peers' reports of them are summed. The sum drains as one queue by its mean age at the part of the engine's rate that is not in use.

Other services are placed as before.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -68,6 +68,7 @@
         .unwrap_or(route.priority);
     let account = account.map(|account| account.name.clone());
     let service = pick_service(serving, &route, account.as_ref(), &call)?;
+    let has_priorities = policy.has_priorities(&service);
     Ok(Exchange {
         account,
         answer: AnswerProgress::None,
@@ -77,6 +78,7 @@
         deadline: received_at + time_left,
         may_have_run: false,
         priority,
+        queue_class: has_priorities.then(|| QueueClass::from(priority)),
         received_at,
         route,
         sends: 0,
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -109,6 +109,8 @@
     pub(crate) may_have_run: bool,
     /// Priority of the call; 0 is the most urgent.
     pub(crate) priority: u32,
+    /// Class of the priority if the routes of the service have different ones.
+    pub(crate) queue_class: Option<QueueClass>,
     pub(crate) received_at: TokioInstant,
     pub(crate) route: Arc<PolicyRoute>,
     pub(crate) sends: u32,
@@ -135,6 +137,7 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         let mut fleet = self.serving.fleet.borrow_mut();
+        fleet.leave_queue(&self.placed);
         fleet.end_attempt(boot_time(), &self.placed.server, false, self.outcome);
     }
 }
@@ -379,6 +382,7 @@
         let mut fleet = self.serving.fleet.borrow_mut();
         let now = boot_time();
         fleet.record_answer(now, now.saturating_sub(elapsed), &attempt.placed.server);
+        fleet.leave_queue(&attempt.placed);
         let Some(prompt) = &self.call.prompt else {
             return;
         };
@@ -503,6 +507,7 @@
         }
         let query = PlacementQuery {
             prompt: self.call.prompt.as_ref(),
+            queue_class: self.queue_class,
             service: &self.service,
             suspect: false,
             tried: &self.tried,
@@ -695,6 +700,7 @@
     pub(crate) fn acquire_move(&self) -> bool {
         let query = PlacementQuery {
             prompt: self.call.prompt.as_ref(),
+            queue_class: self.queue_class,
             service: &self.service,
             suspect: false,
             tried: &self.tried,
@@ -763,6 +769,7 @@
         }
         let query = PlacementQuery {
             prompt: self.call.prompt.as_ref(),
+            queue_class: self.queue_class,
             service: &self.service,
             suspect: false,
             tried: &[],
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -109,6 +109,8 @@
     pub record: ServerRecord,
     /// Latest loads reported by other instances for their calls there.
     pub(crate) peer_loads: SmallVec<[(InstanceName, Duration, ServerLoad); 8]>,
+    /// Prompts that wait there, if the routes of its service have different priorities.
+    pub(crate) queue: ServerQueue,
     /// Attempts of this instance that were placed there and have not ended.
     pub running_here: u32,
     /// Time at which this instance first read the record of its process.
@@ -129,6 +131,7 @@
             prefixes: PrefixEstimate::new(CACHED_PARTS_MAX),
             record,
             peer_loads: SmallVec::new(),
+            queue: ServerQueue::default(),
             running_here: 0,
             seen_at: now,
             suspects_here: 0,
@@ -185,6 +188,7 @@
     pub fn own_load(&self, now: Duration) -> ServerLoad {
         ServerLoad {
             backlog: self.own_backlog(now),
+            queued_tokens: self.queue.own_tokens(),
             running: self.running_here,
         }
     }
@@ -215,8 +219,11 @@
 /// Load that one instance puts on a server, as instances report it to each other.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServerLoad {
-    /// Estimated time until the server has prefilled all prompts that the instance sent it.
+    /// Estimated time until the server has prefilled all prompts that the instance sent it; zero
+    /// for a service whose prompts are counted in `queued_tokens`.
     pub backlog: Duration,
+    /// Tokens of the prompts that the instance sent it and whose answers have not begun.
+    pub queued_tokens: QueuedTokens,
     /// Calls that the instance sent to the server and that have not ended.
     pub running: u32,
 }
@@ -247,6 +254,9 @@
     /// Prompt of a model call; `None` for other calls, whose server is chosen by the number of
     /// running calls per slot.
     pub prompt: Option<&'a Prompt>,
+    /// Priority class of the call if the routes of its service have different priorities; its
+    /// server is then chosen by the queues of unanswered prompts.
+    pub queue_class: Option<QueueClass>,
     /// Only servers registered for this service are chosen.
     pub service: &'a ServiceName,
     /// True if the call is a suspect: its content was running on a server when that server crashed.
@@ -268,8 +278,13 @@
     /// Data centre of the server; the attempt may be given up if it becomes unreachable.
     pub data_centre: DataCentreName,
     /// True if the server is the preferred one for the prompt's shared parts, those that other
-    /// prompts may begin with too, and this instance sent it these parts before.
+    /// prompts may begin with too.
+    pub is_preferred: bool,
+    /// True if, in addition, this instance sent it these parts before.
     pub is_warm_preferred: bool,
+    /// Identifies the prompt in the queue of the server until [`Fleet::leave_queue`] is called;
+    /// `None` if it is not counted there.
+    pub queue_ticket: Option<QueueTicket>,
     /// Name of the server, to be passed to [`Fleet::end_attempt`] when the attempt ends.
     pub server: ServerName,
     /// Cost of the server for this call: the expected time until the answer begins plus penalties
@@ -310,7 +325,10 @@
     pub(crate) prefill_samples: HashMap<ServiceName, PrefillRate>,
     /// Uncached prompt tokens per second that this instance sends to each service.
     pub(crate) prefill_rates: HashMap<ServiceName, DecayingRate>,
+    /// Number of prompts that were added to the queues of servers.
+    pub(crate) queue_tickets: QueueTicket,
     pub(crate) servers: BTreeMap<ServerName, FleetServer>,
+    pub(crate) utilizations: HashMap<ServiceName, Utilization>,
 }
 
 impl Fleet {
@@ -329,7 +347,9 @@
             prefill_estimates: HashMap::new(),
             prefill_samples: HashMap::new(),
             prefill_rates: HashMap::new(),
+            queue_tickets: 0,
             servers: BTreeMap::new(),
+            utilizations: HashMap::new(),
         }
     }
 
@@ -486,6 +506,9 @@
     /// leave this instance no call.
     pub fn place(&mut self, now: Duration, query: PlacementQuery<'_>) -> Result<PlacedAttempt> {
         let prefixes = query.prompt.map(Prompt::prefixes).unwrap_or_default();
+        if query.queue_class.is_some() {
+            self.update_utilization(now, query.service);
+        }
         // If no server is known to be healthy, an unhealthy one is better than none.
         let healthy_only = self.has_healthy_server(now, &query);
         let affinity = self.prefix_affinity(now, &query, &prefixes, healthy_only);
@@ -598,11 +621,17 @@
         cost_ms: f64,
     ) -> PlacedAttempt {
         let tokens_per_ms = self.prefill_estimate(query.service).tokens_per_ms;
+        let queue_class = query.queue_class;
+        let queue_view = queue_class.map(|class| self.queue_view(now, query.service, class));
+        let queue_ticket = self.next_queue_ticket();
         let server = self
             .servers
             .get_mut(id)
             .expect("placed server is registered");
-        let backlog = server.backlog(now);
+        let backlog = match queue_view {
+            Some(view) => Duration::from_secs_f64(view.delay_ms(server) / 1_000.0),
+            None => server.backlog(now),
+        };
         server.running_here += 1;
         server.limit.take(now);
         if query.suspect {
@@ -613,7 +642,9 @@
             backlog,
             cached_tokens: 0,
             data_centre: server.record.data_centre.clone(),
+            is_preferred: affinity.is_preferred(id),
             is_warm_preferred: false,
+            queue_ticket: None,
             server: id.clone(),
             wait_estimate: Duration::from_secs_f64(cost_ms / 1_000.0),
         };
@@ -622,13 +653,17 @@
         };
         let tokens = server.tokens_to_prefill(prompt, prefixes, affinity);
         let cached_here = server.prefixes.cached_blocks(prefixes);
-        placed.is_warm_preferred =
-            affinity.is_preferred(id) && cached_here >= prompt.shared_count();
+        placed.is_warm_preferred = placed.is_preferred && cached_here >= prompt.shared_count();
         placed.cached_tokens = prompt.tokens.saturating_sub(tokens as u32);
         let rate = self.prefill_rates.entry(query.service.clone()).or_default();
         rate.add(now, tokens);
-        let work = Duration::from_secs_f64(tokens / tokens_per_ms / 1_000.0);
-        server.prefill_until = server.prefill_until.max(now) + work;
+        if let Some(class) = queue_class {
+            server.queue.push(queue_ticket, class, tokens as u32);
+            placed.queue_ticket = Some(queue_ticket);
+        } else {
+            let work = Duration::from_secs_f64(tokens / tokens_per_ms / 1_000.0);
+            server.prefill_until = server.prefill_until.max(now) + work;
+        }
         server.prefixes.record(now, prefixes);
         placed
     }
@@ -690,10 +725,12 @@
             let load = f64::from(server.running()) / f64::from(server.record.slots.max(1));
             return cost + load * PLAIN_CALL_COST_MS;
         };
-        let backlog = server.backlog(now);
         let tokens = server.tokens_to_prefill(prompt, prefixes, affinity);
         cost += tokens / self.prefill_estimate(query.service).tokens_per_ms;
-        cost += backlog.as_secs_f64() * 1_000.0;
+        cost += match query.queue_class {
+            Some(class) => self.queue_view(now, query.service, class).delay_ms(server),
+            None => server.backlog(now).as_secs_f64() * 1_000.0,
+        };
         cost += f64::from(server.running()) * RUNNING_COST_MS;
         if server.running() >= server.record.slots {
             cost += f64::from(server.running() - server.record.slots + 1) * PLAIN_CALL_COST_MS;
--- a/src/fleet_peers.rs
+++ b/src/fleet_peers.rs
@@ -30,6 +30,7 @@
         for (id, load) in loads {
             if let Some(server) = self.servers.get_mut(id) {
                 server.peer_loads.push((peer.clone(), now, *load));
+                server.queue.add_report(now, load.queued_tokens);
                 servers.push(id.clone());
             }
         }
@@ -46,7 +47,13 @@
         };
         for id in servers {
             if let Some(server) = self.servers.get_mut(&id) {
-                server.peer_loads.retain(|(instance, ..)| instance != peer);
+                let queue = &mut server.queue;
+                server.peer_loads.retain(|(instance, at, load)| {
+                    if instance == peer {
+                        queue.remove_report(*at, load.queued_tokens);
+                    }
+                    instance != peer
+                });
             }
         }
     }
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -74,6 +74,7 @@
     fn from(digest: &PeerDigest) -> Self {
         let loads = digest.loads.iter().map(|(server, load)| wire::ServerUse {
             backlog_ms: load.backlog.as_millis() as u32,
+            queued_tokens: encode_queued(load.queued_tokens),
             running: load.running,
             server: server.to_string(),
         });
@@ -130,9 +131,12 @@
         let millis = Duration::from_millis;
         let mut loads = HashMap::new();
         for load in wire.loads {
-            let backlog = millis(u64::from(load.backlog_ms));
-            let running = load.running;
-            loads.insert(load.server.into(), ServerLoad { backlog, running });
+            let of_server = ServerLoad {
+                backlog: millis(u64::from(load.backlog_ms)),
+                queued_tokens: decode_queued(&load.queued_tokens),
+                running: load.running,
+            };
+            loads.insert(load.server.into(), of_server);
         }
         let crash_reports = wire.crash_reports.into_iter();
         let demands = wire.demands.into_iter();
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -695,6 +695,9 @@
     /// Remaining prefill time of the sender's prompts.
     #[prost(uint32, tag = "3")]
     pub backlog_ms: u32,
+    /// Prompt tokens of the sender's calls whose answers have not begun, by priority class.
+    #[prost(uint32, repeated, tag = "4")]
+    pub queued_tokens: ::prost::alloc::vec::Vec<u32>,
 }
 /// Requested and admitted units, such as tokens, of one account at the sender.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -32,6 +32,8 @@
 mod router;
 #[path = "decisions/server_limit.rs"]
 mod server_limit;
+#[path = "decisions/server_queue.rs"]
+mod server_queue;
 #[path = "decisions/sse.rs"]
 mod sse;
 #[path = "decisions/topic_feed.rs"]
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -60,6 +60,7 @@
     let service = ServiceName::from("models");
     let query = PlacementQuery {
         prompt: Some(prompt),
+        queue_class: None,
         service: &service,
         suspect: false,
         tried,
@@ -336,6 +337,7 @@
     let load = ServerLoad {
         backlog: Duration::ZERO,
         running: 2,
+        ..ServerLoad::default()
     };
     for round in 0..3_u32 {
         for peer in 0..13_u32 {
--- a/tests/decisions/server_limit.rs
+++ b/tests/decisions/server_limit.rs
@@ -69,6 +69,7 @@
     let service = ServiceName::from("desk");
     let query = PlacementQuery {
         prompt: None,
+        queue_class: None,
         service: &service,
         suspect: false,
         tried: &[],
