--- a/src/admission.rs
+++ b/src/admission.rs
@@ -68,7 +68,8 @@
         .unwrap_or(route.priority);
     let account = account.map(|account| account.name.clone());
     let service = pick_service(serving, &route, account.as_ref(), &call)?;
-    let has_priorities = policy.has_priorities(&service);
+    let priorities = policy.service_priorities(&service);
+    let has_priorities = priorities.is_some_and(ServicePriorities::has_several);
     Ok(Exchange {
         account,
         answer: AnswerProgress::None,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -139,8 +139,6 @@
     pub body_max_bytes: usize,
     /// Routes by host, longest prefix first.
     routes: HashMap<SmolStr, Vec<Arc<PolicyRoute>>>,
-    /// Priority of the first route of each service, and whether all of its routes have it.
-    route_priorities: HashMap<ServiceName, (u32, bool)>,
     services: HashMap<ServiceName, Arc<ServicePolicy>>,
     /// Version given in the configuration record; higher is newer.
     pub version: PolicyVersion,
@@ -163,11 +161,6 @@
 
     /// Adds a route. Of routes with equal host and prefix the one added first is used.
     pub fn add_route(&mut self, route: PolicyRoute) {
-        for (service, _) in &route.services {
-            let known = self.route_priorities.entry(service.clone());
-            let (first, all_equal) = known.or_insert((route.priority, true));
-            *all_equal &= *first == route.priority;
-        }
         let host_routes = self.routes.entry(route.host.clone()).or_default();
         let position =
             host_routes.partition_point(|known| known.path_prefix.len() >= route.path_prefix.len());
@@ -238,12 +231,6 @@
             .find(|route| path.starts_with(route.path_prefix.as_str()))
     }
 
-    /// Returns true if the routes of a service have two or more priorities.
-    pub fn has_priorities(&self, service: &str) -> bool {
-        let priorities = self.route_priorities.get(service);
-        priorities.is_some_and(|(_, all_equal)| !all_equal)
-    }
-
     /// Finds the account that holds a key; `None` if no account of this version holds it.
     pub fn account_by_key(&self, key: &str) -> Option<&AccountPolicy> {
         let index = self.accounts_by_key.get(key)?;
