Choose among the few servers that hash highest for the shared parts of a prompt

Cause: with loads of peers that are up to seconds old, all instances took the server with the shortest estimated queue. Change: services whose routes have different priorities place a call on one of three servers by rendezvous hashing of its shared parts, or on an idle one chosen by its own part. The cost of a second prefill counts for the calls behind it, too. Measured: not yet.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -540,16 +540,14 @@
         // If no server is known to be healthy, an unhealthy one is better than none.
         let healthy_only = self.has_healthy_server(now, query);
         let affinity = self.prefix_affinity(now, query, &prefixes, healthy_only);
-        let mut best: Option<(f64, ServerName)> = None;
-        for server in self.servers.values() {
-            if !self.is_eligible(server, now, query, healthy_only) {
-                continue;
+        let best = match (query.prompt, query.queue_class) {
+            (Some(prompt), Some(_)) => {
+                self.choose_candidate(now, query, prompt, &prefixes, &affinity, healthy_only)
             }
-            let cost = self.cost_ms(now, server, query, &prefixes, &affinity);
-            if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
-                best = Some((cost, server.record.id.clone()));
+            (Some(_), None) | (None, _) => {
+                self.choose_cheapest(now, query, &prefixes, &affinity, healthy_only)
             }
-        }
+        };
         let Some((cost_ms, server)) = best else {
             self.count_unplaced(now, query);
             return Err(self.no_server_error(now, query));
@@ -562,6 +560,27 @@
         })
     }
 
+    fn choose_cheapest(
+        &self,
+        now: Duration,
+        query: &PlacementQuery<'_>,
+        prefixes: &PrefixHashes,
+        affinity: &PrefixAffinity,
+        healthy_only: bool,
+    ) -> Option<(f64, ServerName)> {
+        let mut best: Option<(f64, ServerName)> = None;
+        for server in self.servers.values() {
+            if !self.is_eligible(server, now, query, healthy_only) {
+                continue;
+            }
+            let cost = self.cost_ms(now, server, query, prefixes, affinity);
+            if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
+                best = Some((cost, server.record.id.clone()));
+            }
+        }
+        best
+    }
+
     /// Returns true if [`place`](Self::place) would choose a server that is healthy.
     pub fn has_healthy_server(&self, now: Duration, query: &PlacementQuery<'_>) -> bool {
         self.servers
--- a/src/fleet_queues.rs
+++ b/src/fleet_queues.rs
@@ -71,8 +71,7 @@
         class: QueueClass,
     ) -> QueueView {
         let tokens_per_ms = self.prefill_estimate(service).tokens_per_ms;
-        let utilization = self.utilizations.get(service);
-        let utilization = utilization.map_or(0.0, |known| known.value);
+        let utilization = self.busy_fraction(service);
         QueueView {
             class,
             free_per_ms: tokens_per_ms * (1.0 - utilization).max(0.0),
@@ -81,6 +80,13 @@
         }
     }
 
+    /// Returns the fraction of a service's engines for which unanswered prompts are known, as last
+    /// computed.
+    pub(crate) fn busy_fraction(&self, service: &ServiceName) -> f64 {
+        let utilization = self.utilizations.get(service);
+        utilization.map_or(0.0, |known| known.value)
+    }
+
     /// Computes the utilization of a service, unless that was done shortly before.
     pub(crate) fn update_utilization(&mut self, now: Duration, service: &ServiceName) {
         let known = self.utilizations.get(service);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -436,6 +436,7 @@
 pub mod feed_service;
 pub mod finish;
 pub mod fleet;
+mod fleet_choice;
 pub mod fleet_limits;
 pub mod fleet_notices;
 pub mod fleet_peers;
