Shape rejections by account shares, ageing and return times

Cause: by the wait alone, an account at several times its usual rate takes the capacity of the others, the least urgent calls could be rejected all the time, and all rejected calls would come back at once.

While the demand of a service exceeds its capacity, an account above its max-min fair share, weighted by the rate of its usage limit, has half the wait limit. Kinds of calls (route, account, size class) earn 0.35 of the share of the others with each new call, and a kind that has earned a whole call is limited by its deadline alone. Rejected calls come back one after the other at the rate of this instance's share of the capacity, and not so late that their answers miss the target.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -380,8 +380,8 @@
         let now = boot_time();
         fleet.record_answer(now, now.saturating_sub(elapsed), &attempt.placed.server);
         let Some(prompt) = &self.call.prompt else {
-            let mut overload = self.serving.overload.borrow_mut();
-            overload.record_plain_answer(&self.service, attempt.placed.calls_per_slot, elapsed);
+            let admission = &mut self.serving.overload.borrow_mut().admission;
+            admission.record_plain_answer(&self.service, attempt.placed.calls_per_slot, elapsed);
             return;
         };
         fleet.observe_first_event(now, &self.service, prompt, &attempt.placed, elapsed);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -287,8 +287,8 @@
 /// Server that an attempt would be placed on, for [`Fleet::commit`].
 #[derive(Debug)]
 pub struct PlacementEstimate {
-    affinity: PrefixAffinity,
-    prefixes: PrefixHashes,
+    pub(crate) affinity: PrefixAffinity,
+    pub(crate) prefixes: PrefixHashes,
     /// Name of the server.
     pub server: ServerName,
     /// Cost of the server for this call, as in [`PlacedAttempt::wait_estimate`].
@@ -786,7 +786,7 @@
     }
 
     /// Returns true if a server is neither ejected nor in a data centre whose last probe failed.
-    fn is_healthy(&self, server: &FleetServer, now: Duration) -> bool {
+    pub(crate) fn is_healthy(&self, server: &FleetServer, now: Duration) -> bool {
         let centre = self.centres.get(&server.record.data_centre);
         let is_suspected = centre.is_some_and(|state| state.unreachable || state.failed_probes > 0);
         now >= server.ejected_until && !is_suspected
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -148,6 +148,7 @@
             fleet.set_instances(now, name_hash(own), peers);
             fleet.set_digest_interval(serving.peers.borrow().digest_interval());
         }
+        serving.update_overload(now);
         let collectors = collectors(&serving, now);
         targets.retain(|target| !collectors.contains(target));
         let usage = std::mem::take(&mut digest.usage);
--- a/src/overload_call.rs
+++ b/src/overload_call.rs
@@ -8,8 +8,13 @@
 /// One in this many calls that are served is logged.
 const SERVED_PER_LOG_LINE: u64 = 64;
 
-/// Shortest time after which a rejected call is asked to come back.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
+/// Age above which the demand that a peer reported is not used; a peer that is silent for longer
+/// may be behind a network partition, whose side has its own servers.
+const DEMAND_AGE_MAX: Duration = Duration::from_millis(1_500);
+
+/// Number of digests of a peer that may be lost before its demand is no longer used, where digests
+/// come more rarely.
+const DEMAND_DIGESTS: u32 = 2;
 
 impl Exchange {
     /// Places an attempt. The first attempt of a call is rejected before it is placed if its service
@@ -34,50 +39,13 @@
         query: &PlacementQuery<'_>,
         estimate: &PlacementEstimate,
     ) -> Result {
-        let policy_state = self.serving.policy.borrow();
-        let Some(policy) = policy_state.in_force() else {
-            return Ok(());
-        };
-        let Some(service) = policy.service(&self.service) else {
+        let Some(decision) = self.decide(now, fleet, query, estimate) else {
             return Ok(());
         };
-        let time_left = self.deadline.saturating_duration_since(TokioInstant::now());
-        let mut overload = self.serving.overload.borrow_mut();
-        let (wait, admission) = match (&self.call.prompt, service.engine) {
-            (Some(_), Some(_)) => {
-                let priorities = policy.service_priorities(&self.service);
-                let Some(priorities) = priorities.filter(|known| known.has_several()) else {
-                    return Ok(());
-                };
-                let target = self.route.target_latency;
-                let admission_query = AdmissionQuery {
-                    above_share: false,
-                    aged: false,
-                    answer_time: fleet.answer_time(&self.service),
-                    is_most_urgent: priorities.is_most_urgent(self.priority),
-                    route: &self.route.name,
-                    target: priorities.limited_target(self.priority, target),
-                    time_given: self.deadline.saturating_duration_since(self.received_at),
-                    time_left,
-                    wait: estimate.wait,
-                };
-                let admission =
-                    overload.decide(now, &admission_query, || fleet.idle_wait(now, query));
-                (estimate.wait, admission)
-            }
-            (None, None) if policy.has_priorities() => {
-                let calls_per_slot = fleet.fewest_calls_per_slot(now, query);
-                overload.decide_plain(&self.service, calls_per_slot, time_left)
-            }
-            (None, _) | (Some(_), None) => return Ok(()),
-        };
-        let retry_after = wait
-            .saturating_sub(admission.limit)
-            .min(time_left / 3)
-            .max(RETRY_AFTER_MIN);
+        let admission = decision.admission;
         self.serving.metrics.admission(admission.outcome);
         let age = fleet.load_age(now, &estimate.server);
-        self.log_admission(wait, &admission, age, retry_after);
+        self.log_admission(&decision, age);
         if admission.outcome == AdmissionOutcome::Served {
             return Ok(());
         }
@@ -87,40 +55,112 @@
         }
         Err(Error::LackOfCapacity {
             reason: admission.outcome.explanation(),
-            retry_after_ms: retry_after.as_millis() as u64,
+            retry_after_ms: decision.retry_after.as_millis() as u64,
             subject: Subject::Service(self.service.clone()),
         })
     }
 
-    fn log_admission(
+    /// Decides whether the call is sent; `None` if overload control is not in force for its service.
+    fn decide(
         &self,
-        wait: Duration,
-        admission: &Admission,
-        age: Duration,
-        retry_after: Duration,
-    ) {
+        now: Duration,
+        fleet: &Fleet,
+        query: &PlacementQuery<'_>,
+        estimate: &PlacementEstimate,
+    ) -> Option<OverloadDecision> {
+        let policy_state = self.serving.policy.borrow();
+        let policy = policy_state.in_force()?;
+        let service = policy.service(&self.service)?;
+        let time_left = self.deadline.saturating_duration_since(TokioInstant::now());
+        let mut overload = self.serving.overload.borrow_mut();
+        let prompt = match (&self.call.prompt, service.engine) {
+            (Some(prompt), Some(_)) => prompt,
+            (None, None) if policy.has_priorities() => {
+                let calls_per_slot = fleet.fewest_calls_per_slot(now, query);
+                return Some(overload.decide_plain(&self.service, calls_per_slot, time_left));
+            }
+            (None, _) | (Some(_), None) => return None,
+        };
+        let priorities = policy.service_priorities(&self.service)?;
+        if !priorities.has_several() {
+            return None;
+        }
+        let target = self.route.target_latency;
+        let call = OverloadCall {
+            account: &self.account.clone().unwrap_or_default(),
+            admission: AdmissionQuery {
+                above_share: false,
+                aged: false,
+                answer_time: fleet.answer_time(&self.service),
+                is_most_urgent: priorities.is_most_urgent(self.priority),
+                route: &self.route.name,
+                target: priorities.limited_target(self.priority, target),
+                time_given: self.deadline.saturating_duration_since(self.received_at),
+                time_left,
+                wait: estimate.wait,
+            },
+            prompt_tokens: prompt.tokens,
+            service: &self.service,
+            target,
+            tokens: fleet.tokens_at(query, estimate),
+            tokens_per_ms: fleet.prefill_estimate(&self.service).tokens_per_ms,
+            units: self.units,
+        };
+        Some(overload.decide(now, &call, || fleet.idle_wait(now, query)))
+    }
+
+    fn log_admission(&self, decision: &OverloadDecision, age: Duration) {
+        let admission = &decision.admission;
         let is_rejected = admission.outcome != AdmissionOutcome::Served;
         if !is_rejected && !self.whole.is_multiple_of(SERVED_PER_LOG_LINE) {
             return;
         }
-        let retry_after_ms = match is_rejected {
-            true => retry_after.as_millis(),
-            false => 0,
-        };
         info!(
             "admit request={} service={} route={} account={} priority={} wait_ms={} limit_ms={} \
-             returned={} age_ms={} outcome={} reason={} retry_after_ms={retry_after_ms}",
+             returned={} above_share={} aged={} age_ms={} outcome={} reason={} retry_after_ms={}",
             self.call.request_id,
             self.service,
             self.route.name,
             self.account.as_deref().unwrap_or_default(),
             self.priority,
-            wait.as_millis(),
+            decision.wait.as_millis(),
             admission.limit.as_millis(),
             admission.returned,
+            decision.above_share,
+            decision.aged,
             age.as_millis(),
             admission.outcome.as_str(),
             admission.outcome.reason(),
+            decision.retry_after.as_millis(),
         );
     }
 }
+
+impl ServingState {
+    /// Updates overload control by what is known of the demand for each service; called in each
+    /// round of digests.
+    pub(crate) fn update_overload(&self, now: Duration) {
+        let policy_state = self.policy.borrow();
+        let Some(policy) = policy_state
+            .in_force()
+            .filter(|policy| policy.has_priorities())
+        else {
+            return;
+        };
+        let peers = self.peers.borrow();
+        let age_max = DEMAND_AGE_MAX.max(peers.digest_interval() * DEMAND_DIGESTS);
+        let asked_per_s = self.limits.borrow().asked_per_s(now, age_max);
+        let fleet = self.fleet.borrow();
+        let mut overload = self.overload.borrow_mut();
+        for service in policy.services().filter(|service| service.engine.is_some()) {
+            let demand = ServiceDemand {
+                accounts: &policy.accounts,
+                asked_per_s: &asked_per_s,
+                capacity_tokens_per_s: fleet.prefill_capacity(now, &service.name),
+                instances: peers.known_count() + 1,
+                own_part: fleet.own_part(now, &service.name),
+            };
+            overload.update(now, &service.name, &demand);
+        }
+    }
+}
--- a/src/overload_wait.rs
+++ b/src/overload_wait.rs
@@ -36,6 +36,40 @@
         Some(Duration::from_secs_f64(estimate.fixed_ms / 1_000.0))
     }
 
+    /// Returns the prompt tokens that the server of an estimate has to prefill for a call.
+    pub fn tokens_at(&self, query: &PlacementQuery<'_>, estimate: &PlacementEstimate) -> f64 {
+        match (query.prompt, self.servers.get(&estimate.server)) {
+            (Some(prompt), Some(server)) => {
+                server.tokens_to_prefill(prompt, &estimate.prefixes, &estimate.affinity)
+            }
+            (None, _) | (_, None) => 0.0,
+        }
+    }
+
+    /// Returns the prompt tokens per second that the healthy servers of a service prefill together.
+    pub fn prefill_capacity(&self, now: Duration, service: &ServiceName) -> f64 {
+        let servers = self.servers.values();
+        let usable = servers.filter(|server| {
+            server.record.service == *service
+                && !server.is_leaving()
+                && self.is_healthy(server, now)
+        });
+        usable.count() as f64 * self.prefill_estimate(service).tokens_per_ms * 1_000.0
+    }
+
+    /// Returns the part of the demand for a service that this instance receives.
+    pub fn own_part(&self, now: Duration, service: &ServiceName) -> f64 {
+        let own = self.prefill_rates.get(service);
+        let own = own.map_or(0.0, |rate| rate.at(now));
+        let peers = self.peer_work.values();
+        let of_service = peers.filter_map(|(_, work)| work.get(service));
+        let of_peers: f64 = of_service.map(|work| work.prefill_tokens_per_s).sum();
+        match own > 0.0 {
+            true => own / (own + of_peers),
+            false => 1.0 / (self.peer_hashes.len() + 1) as f64,
+        }
+    }
+
     /// Returns the calls for each slot of the server, among those that can take the call, that has
     /// the fewest; 0 if there is no server.
     pub fn fewest_calls_per_slot(&self, now: Duration, query: &PlacementQuery<'_>) -> f64 {
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -116,7 +116,7 @@
     /// Metrics that the status listener serves.
     pub metrics: Metrics,
     /// Decides whether a call is sent while its service lacks capacity.
-    pub overload: RefCell<OverloadAdmission>,
+    pub overload: RefCell<OverloadControl>,
     /// Time since boot at which a peer last read a topic of the log from this instance; `None` if
     /// none has.
     peer_read_at: Cell<Option<Duration>>,
--- a/src/usage_limits.rs
+++ b/src/usage_limits.rs
@@ -244,6 +244,24 @@
         by_account
     }
 
+    /// Returns the units per second that callers request from this instance and from the peers that
+    /// have reported within `age_max`, by account with a limit.
+    pub fn asked_per_s(&self, now: Duration, age_max: Duration) -> HashMap<AccountName, f64> {
+        let mut asked: HashMap<AccountName, f64> = HashMap::new();
+        for (name, usage) in &self.accounts {
+            asked.insert(name.clone(), usage.asked.at(now));
+        }
+        for peer in self.peers.values() {
+            if now.saturating_sub(peer.received_at) > age_max {
+                continue;
+            }
+            for (name, demand) in &peer.by_account {
+                *asked.entry(name.clone()).or_default() += demand.asked_per_s;
+            }
+        }
+        asked
+    }
+
     /// Returns the factor from the demand of the peers that were heard of to that of all; `None` if
     /// too few were heard of.
     fn unheard_factor(&self, now: Duration) -> Option<f64> {
