Keep account limits by sums of demand over data centres

With hundreds of instances, the demand of the others is up to 3.7 s old. After a sudden rise of 7.5 times, 295 instances admitted 2,022,000 units in a window that allows 1,656,000, and 1,962,000 before a restart.

UsageLimits takes a sum in place of the reports of the data centre's instances. A sum that is over 1.5 s old counts for 15 s more if it is larger than what the instances report themselves, as silent peers do, so that both sides of a network partition do not spend the other's share.

Nothing sends sums yet.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -221,6 +221,43 @@
     pub running: u32,
 }
 
+impl ServerLoad {
+    /// Number of values of [`values`](Self::values).
+    pub const VALUES: usize = 2;
+
+    /// Returns the fields as numbers, which can be summed over instances and sent in columns. The
+    /// order is that of the wire format: new fields are added at the end.
+    pub fn values(&self) -> [u32; Self::VALUES] {
+        [self.running, self.backlog.as_millis() as u32]
+    }
+
+    /// Returns the load with these [`values`](Self::values).
+    pub fn from_values(values: [u32; Self::VALUES]) -> Self {
+        let [running, backlog_ms] = values;
+        Self {
+            backlog: Duration::from_millis(u64::from(backlog_ms)),
+            running,
+        }
+    }
+
+    /// Returns the sum of two loads on one server.
+    pub fn plus(&self, other: Self) -> Self {
+        self.combine(other, u32::saturating_add)
+    }
+
+    /// Returns this load without `other`, which is a part of it; at least 0 in each field.
+    pub fn minus(&self, other: Self) -> Self {
+        self.combine(other, u32::saturating_sub)
+    }
+
+    fn combine(&self, other: Self, operation: fn(u32, u32) -> u32) -> Self {
+        let (own, other) = (self.values(), other.values());
+        Self::from_values(std::array::from_fn(|index| {
+            operation(own[index], other[index])
+        }))
+    }
+}
+
 /// Outcome of an attempt, from which the health of its server is updated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
--- a/src/fleet_peers.rs
+++ b/src/fleet_peers.rs
@@ -40,6 +40,34 @@
         }
     }
 
+    /// Replaces the loads and the demand of all instances of a data centre, except this one, by a
+    /// sum whose inputs were stated at `inputs_at` on average. It is kept among the reports of the
+    /// peers, and replaces them once they are removed.
+    pub(crate) fn update_centre_sum(&mut self, inputs_at: Duration, sum: &RoomSum) {
+        let reporter = centre_reporter(&sum.data_centre);
+        let mut loads = HashMap::with_capacity(sum.loads.len());
+        for id in self.servers.keys() {
+            if let Some(load) = sum.loads.get(&server_hash(id)) {
+                loads.insert(id.clone(), *load);
+            }
+        }
+        self.update_peer_loads(inputs_at, &reporter, &loads);
+        let work = sum.work.iter();
+        let work = work.map(|(service, work)| (service.clone(), *work));
+        self.update_peer_work(inputs_at, &reporter, work.collect());
+    }
+
+    /// Removes the sum of a data centre.
+    pub(crate) fn remove_centre_sum(&mut self, data_centre: &DataCentreName) {
+        self.remove_peer(&centre_reporter(data_centre));
+    }
+
+    /// Removes what a peer reported, as its data centre's sum includes it.
+    pub(crate) fn remove_peer(&mut self, peer: &InstanceName) {
+        self.remove_peer_loads(peer);
+        self.peer_work.remove(peer);
+    }
+
     fn remove_peer_loads(&mut self, peer: &InstanceName) {
         let Some((_, servers)) = self.peer_load_servers.remove(peer) else {
             return;
@@ -158,3 +186,9 @@
         self.update_prefill_estimates(now);
     }
 }
+
+/// Returns the name under which the sum of a data centre is kept among the reports of the peers; the
+/// line break keeps it apart from names of instances.
+fn centre_reporter(data_centre: &DataCentreName) -> InstanceName {
+    format!("sum\n{data_centre}").into()
+}
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -129,9 +129,9 @@
     fleet.update_peer_loads(now, peer, &digest.loads);
     fleet.update_peer_work(now, peer, digest.work);
     let mut limits = serving.limits.borrow_mut();
-    limits.update_peer_demand(now, peer, digest.demands);
-    let mut usage = serving.usage.borrow_mut();
     let centre = &digest.data_centre;
+    limits.update_peer_demand(now, peer, centre, digest.demands);
+    let mut usage = serving.usage.borrow_mut();
     usage.set_peer_counts(peer.clone(), digest.life, centre, digest.usage);
     usage.merge_centre_sums(centre, digest.centre_usage);
 }
--- a/src/usage_limits.rs
+++ b/src/usage_limits.rs
@@ -7,7 +7,8 @@
 //! While an account's usage is far below its limit, everything is admitted; near the limit each
 //! instance spends a share in proportion to its part of the demand; at the limit nothing is
 //! admitted. The demand of an instance that no longer sends reports is still included for a while,
-//! so that the two sides of a network partition do not both spend its share. The allowance of a
+//! so that the two sides of a network partition do not both spend its share. In large deployments
+//! the sums of data centres take the place of the reports of their instances. The allowance of a
 //! window is the account's rate multiplied by the window, plus its burst.
 
 use super::*;
@@ -64,6 +65,41 @@
     pub admitted: f64,
 }
 
+impl AccountDemand {
+    /// Returns the demand `age` after it was stated: what may have been admitted since is
+    /// extrapolated from what was requested.
+    pub(crate) fn brought_forward(self, age: Duration) -> Self {
+        let age = age.min(EXTRAPOLATION_MAX);
+        Self {
+            admitted: self.admitted + self.asked_per_s * age.as_secs_f64(),
+            asked_per_s: self.asked_per_s,
+        }
+    }
+
+    pub(crate) fn plus(self, other: Self) -> Self {
+        Self {
+            admitted: self.admitted + other.admitted,
+            asked_per_s: self.asked_per_s + other.asked_per_s,
+        }
+    }
+
+    /// Returns the difference, at least 0 in each field.
+    pub(crate) fn minus(self, other: Self) -> Self {
+        Self {
+            admitted: (self.admitted - other.admitted).max(0.0),
+            asked_per_s: (self.asked_per_s - other.asked_per_s).max(0.0),
+        }
+    }
+
+    /// Returns the larger value of each field.
+    fn max(self, other: Self) -> Self {
+        Self {
+            admitted: self.admitted.max(other.admitted),
+            asked_per_s: self.asked_per_s.max(other.asked_per_s),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct AccountUsage {
     admitted: SlidingSum,
@@ -74,9 +110,28 @@
 #[derive(Debug)]
 struct PeerDemand {
     by_account: HashMap<AccountName, AccountDemand>,
+    data_centre: DataCentreName,
     received_at: Duration,
 }
 
+/// Demand of the instances of a data centre, as a collector has summed it up.
+#[derive(Debug)]
+struct CentreDemand {
+    by_account: BTreeMap<AccountName, AccountDemand>,
+    instances: usize,
+    made_at: Duration,
+}
+
+impl CentreDemand {
+    fn is_fresh(&self, now: Duration) -> bool {
+        now.saturating_sub(self.made_at) < ROOM_SUM_TTL
+    }
+
+    fn is_valid(&self, now: Duration) -> bool {
+        now.saturating_sub(self.made_at) < SILENT_DEMAND_TTL
+    }
+}
+
 /// Units admitted within a sliding window: the number of each slot (a fixed fraction of the window)
 /// and the sum of its units, oldest slot first.
 #[derive(Debug, Default)]
@@ -89,6 +144,8 @@
 #[derive(Debug)]
 pub struct UsageLimits {
     accounts: HashMap<AccountName, AccountUsage>,
+    /// Sums of the demand of data centres, which count instead of the reports of their instances.
+    centres: BTreeMap<DataCentreName, CentreDemand>,
     /// Number of instances registered in the log, including this one; at least 1.
     instances: usize,
     peers: HashMap<InstanceName, PeerDemand>,
@@ -113,6 +170,7 @@
         };
         Self {
             accounts: HashMap::new(),
+            centres: BTreeMap::new(),
             instances,
             peers: HashMap::new(),
             seed_fraction: xxh3_64(&seed.to_le_bytes()) as f64 / u64::MAX as f64,
@@ -213,15 +271,22 @@
     }
 
     /// Replaces a peer's demand for all accounts by that of its latest report, received at `now`,
-    /// and drops peers silent for [`SILENT_DEMAND_TTL`].
+    /// and drops peers silent for [`SILENT_DEMAND_TTL`]. The report is ignored while the sum of the
+    /// peer's data centre is in use.
     pub fn update_peer_demand(
         &mut self,
         now: Duration,
         peer: &InstanceName,
+        data_centre: &DataCentreName,
         by_account: HashMap<AccountName, AccountDemand>,
     ) {
+        let sum = self.centres.get(data_centre);
+        if sum.is_some_and(|sum| sum.is_fresh(now)) {
+            return;
+        }
         let demand = PeerDemand {
             by_account,
+            data_centre: data_centre.clone(),
             received_at: now,
         };
         self.peers.insert(peer.clone(), demand);
@@ -229,6 +294,28 @@
             .retain(|_, peer| now.saturating_sub(peer.received_at) < SILENT_DEMAND_TTL);
     }
 
+    /// Replaces the demand of all instances of a data centre, except this one, by a sum of
+    /// `instances` instances that was made at `made_at`. It is used alone until it is
+    /// [`ROOM_SUM_TTL`] old. Then, for [`SILENT_DEMAND_TTL`], the larger of it and the peers' own
+    /// reports counts: the first reports come only from a few of them, and behind a network partition
+    /// there are none.
+    pub fn update_centre_demand(
+        &mut self,
+        made_at: Duration,
+        data_centre: &DataCentreName,
+        instances: usize,
+        by_account: BTreeMap<AccountName, AccountDemand>,
+    ) {
+        let demand = CentreDemand {
+            by_account,
+            instances,
+            made_at,
+        };
+        self.centres.insert(data_centre.clone(), demand);
+        self.peers
+            .retain(|_, peer| peer.data_centre != *data_centre);
+    }
+
     /// Returns the demand at this instance for all limited accounts that have sent it a call; it is
     /// reported to the peers.
     pub fn demand(&mut self, now: Duration) -> HashMap<AccountName, AccountDemand> {
@@ -247,32 +334,59 @@
     /// Returns the factor from the demand of the peers that were heard of to that of all; `None` if
     /// too few were heard of.
     fn unheard_factor(&self, now: Duration) -> Option<f64> {
-        let is_heard =
-            |peer: &&PeerDemand| now.saturating_sub(peer.received_at) < SILENT_DEMAND_TTL;
-        let heard = self.peers.values().filter(is_heard).count();
+        let mut heard = self.reports(now, None).count();
+        for (centre, sum) in &self.centres {
+            let collected = match sum.is_valid(now) {
+                true => sum.instances,
+                false => 0,
+            };
+            heard += collected.max(self.reports(now, Some(centre)).count());
+        }
         let all = self.instances - 1;
         (heard > 0 && heard >= all.min(RESTART_PEERS_MIN))
             .then(|| (all as f64 / heard as f64).max(1.0))
     }
 
+    /// Returns the demand of all other instances for an account. Reports are seconds old in large
+    /// deployments, so what may have been admitted since is extrapolated from the demand.
     fn peer_demand(&self, now: Duration, account: &AccountName) -> AccountDemand {
-        let mut sum = AccountDemand::default();
-        for peer in self.peers.values() {
-            if now.saturating_sub(peer.received_at) >= SILENT_DEMAND_TTL {
-                continue;
+        let demand_since = |demand: Option<&AccountDemand>, at: Duration| {
+            let age = now.saturating_sub(at);
+            demand.map_or_else(AccountDemand::default, |demand| demand.brought_forward(age))
+        };
+        let reported = |centre: Option<&DataCentreName>| {
+            let mut sum = AccountDemand::default();
+            for peer in self.reports(now, centre) {
+                sum = sum.plus(demand_since(peer.by_account.get(account), peer.received_at));
             }
-            let Some(demand) = peer.by_account.get(account) else {
-                continue;
-            };
-            // The peer's report is seconds old in large deployments, so what the peer may have
-            // admitted since is extrapolated from its demand.
-            let since = now.saturating_sub(peer.received_at).min(EXTRAPOLATION_MAX);
-            sum.asked_per_s += demand.asked_per_s;
-            sum.admitted += demand.admitted + demand.asked_per_s * since.as_secs_f64();
+            sum
+        };
+        let mut sum = reported(None);
+        for (centre, collected) in &self.centres {
+            let demand = collected.by_account.get(account);
+            let demand = demand.filter(|_| collected.is_valid(now));
+            let demand = demand_since(demand, collected.made_at);
+            sum = sum.plus(demand.max(reported(Some(centre))));
         }
         sum
     }
 
+    /// Returns the reports that count of the peers in a data centre, or of those in data centres
+    /// without a sum.
+    fn reports(
+        &self,
+        now: Duration,
+        centre: Option<&DataCentreName>,
+    ) -> impl Iterator<Item = &PeerDemand> {
+        self.peers.values().filter(move |peer| {
+            let is_of_centre = match centre {
+                Some(centre) => peer.data_centre == *centre,
+                None => !self.centres.contains_key(&peer.data_centre),
+            };
+            is_of_centre && now.saturating_sub(peer.received_at) < SILENT_DEMAND_TTL
+        })
+    }
+
     fn slot(&self, now: Duration) -> u64 {
         let slot = self.window.as_millis() as u64 / WINDOW_SLOTS;
         now.as_millis() as u64 / slot.max(1)
