Send sums of data centres through the collectors

Loads, demand and work reach an instance through digests of all peers in turn, so that they are up to 3.7 s old at 295 instances.

In deployments of over 25 instances the collectors of a data centre now sum them up from the digests that they get in each round. They send the sum, without the receiver's own part, to the instances of their data centre and to the other collectors, which forward it. Sums use columns and hashes of server names. Digests that go round leave out what the sums contain where sender and receiver both have the sums of all data centres; without sums for 1.5 s, digests are used as before.

A digest that waited in the socket of a frozen instance counts with the age that it has by the sender's clock, against the fastest one of that process.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -85,9 +85,9 @@
 
 /// Applies a peer's digest to the state that it covers; a digest of this instance itself is
 /// ignored.
-fn apply_digest(serving: &ServingState, address: SocketAddr, digest: PeerDigest) {
+fn apply_digest(serving: &ServingState, address: SocketAddr, mut digest: PeerDigest) {
     let now = boot_time();
-    let peer = &digest.instance;
+    let peer = &digest.instance.clone();
     if *peer == serving.settings.instance {
         return;
     }
@@ -118,19 +118,26 @@
     let mut wall_clock = serving.wall_clock.borrow_mut();
     wall_clock.record_peer_estimate(now, peer, digest.unix_ms);
     record_received(serving, &digest.data_centre, peer);
-    let crash_reports = digest.crash_reports.into_iter();
+    let crash_reports = std::mem::take(&mut digest.crash_reports).into_iter();
     let crash_reports = crash_reports.map(|report| report.received(digest.sent, now));
     serving.merge_crash_reports(now, crash_reports.collect());
-    let limits = digest.limits.into_iter();
+    let limits = std::mem::take(&mut digest.limits).into_iter();
     let limits = limits.map(|report| report.received(digest.sent, now));
     serving.merge_limits(now, peer, limits.collect());
-    serving.merge_leaving(peer, digest.leaving_servers);
+    serving.merge_leaving(peer, std::mem::take(&mut digest.leaving_servers));
+    let own_centre = &serving.settings.data_centre;
     let mut fleet = serving.fleet.borrow_mut();
-    fleet.update_peer_loads(now, peer, &digest.loads);
-    fleet.update_peer_work(now, peer, digest.work);
     let mut limits = serving.limits.borrow_mut();
+    let mut room = serving.room.borrow_mut();
+    room.apply_digest(
+        now,
+        own_centre,
+        &mut peers,
+        &mut fleet,
+        &mut limits,
+        &mut digest,
+    );
     let centre = &digest.data_centre;
-    limits.update_peer_demand(now, peer, centre, digest.demands);
     let mut usage = serving.usage.borrow_mut();
     usage.set_peer_counts(peer.clone(), digest.life, centre, digest.usage);
     usage.merge_centre_sums(centre, digest.centre_usage);
@@ -139,9 +146,8 @@
 async fn send_digests(serving: Rc<ServingState>, socket: Rc<UdpSocket>) {
     for round in 0_u64.. {
         let now = boot_time();
-        let mut digest = local_digest(&serving, now, round);
+        let digest = local_digest(&serving, now, round);
         let own = &serving.settings.instance;
-        let mut targets = serving.peers.borrow().digest_targets(now, own, round);
         let peers = serving.peers.borrow().active_hashes(now);
         {
             let mut fleet = serving.fleet.borrow_mut();
@@ -149,21 +155,46 @@
             fleet.set_digest_interval(serving.peers.borrow().digest_interval());
         }
         let collectors = collectors(&serving, now);
-        targets.retain(|target| !collectors.contains(target));
-        let usage = std::mem::take(&mut digest.usage);
-        if collectors.is_empty() {
-            digest.usage = usage.clone();
+        for (mut digest, targets) in outgoing_digests(&serving, now, round, digest, collectors) {
+            send_to(&socket, &mut digest, targets);
         }
-        send_to(&socket, &mut digest, targets);
-        digest.usage = usage;
-        if serving.collects_usage(now) {
-            digest.centre_usage = serving.usage.borrow().centre_sums();
-        }
-        send_to(&socket, &mut digest, collectors);
         tokio::time::sleep(DIGEST_INTERVAL).await;
     }
 }
 
+/// Returns the digests of a round and the peers that get them, from that of this instance.
+fn outgoing_digests(
+    serving: &ServingState,
+    now: Duration,
+    round: u64,
+    mut digest: PeerDigest,
+    collectors: Vec<DigestTarget>,
+) -> Vec<OutgoingDigest> {
+    let peers = serving.peers.borrow();
+    let mut room = serving.room.borrow_mut();
+    let room_round = {
+        let mut fleet = serving.fleet.borrow_mut();
+        let mut limits = serving.limits.borrow_mut();
+        room.begin_round(now, &peers, &mut fleet, &mut limits, &digest)
+    };
+    let targets = peers.digest_targets(now, &serving.settings.instance, round);
+    let mut for_collectors = digest.clone();
+    if serving.collects_usage(now) {
+        for_collectors.centre_usage = serving.usage.borrow().centre_sums();
+    }
+    if !collectors.is_empty() {
+        digest.usage.clear();
+    }
+    room.outgoing(
+        &room_round,
+        &peers,
+        digest,
+        for_collectors,
+        targets,
+        collectors,
+    )
+}
+
 /// Returns the peers that collect usage, if the others do not get a digest in every round.
 fn collectors(serving: &ServingState, now: Duration) -> Vec<DigestTarget> {
     let settings = &serving.settings;
@@ -180,9 +211,11 @@
 fn send_to(socket: &UdpSocket, digest: &mut PeerDigest, targets: Vec<DigestTarget>) {
     for (address, echoed) in targets {
         digest.echoed = echoed;
-        // The next digest follows soon, so a loss to a full socket or an unreachable peer is
-        // ignored.
-        let _ = socket.try_send_to(&digest.encode(), address);
+        for datagram in encode_datagrams(digest) {
+            // The next digest follows soon, so a loss to a full socket or an unreachable peer is
+            // ignored.
+            let _ = socket.try_send_to(&datagram, address);
+        }
     }
 }
 
@@ -216,6 +249,7 @@
         loads,
         policy_age: policy.age(now),
         policy_version: policy.newest_version(),
+        room: None,
         sent: now,
         unix_ms: serving.wall_clock.borrow().local_unix_ms(now),
         usage: serving.usage.borrow().recent_own_counts(),
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -43,6 +43,8 @@
     pub policy_age: Option<Duration>,
     /// Version of the policy that the sender applies; 0 if it has none.
     pub policy_version: PolicyVersion,
+    /// Sums of data centres; `None` where all instances send each other a digest in every round.
+    pub room: Option<RoomReport>,
     /// Send time by the sender's [`boot_time`], which also advances while the machine is suspended.
     pub sent: Duration,
     /// Sender's estimate of the time since 1970 in milliseconds, without corrections by its peers.
@@ -117,6 +119,7 @@
             loads: loads.collect(),
             policy_age_ms: digest.policy_age.map(|age| age.as_millis() as u64),
             policy_version: digest.policy_version,
+            room: digest.room.as_ref().map(Into::into),
             sent_ms: digest.sent.as_millis() as u64,
             unix_ms: digest.unix_ms,
             usage: usage.collect(),
@@ -167,6 +170,7 @@
             loads,
             policy_age: wire.policy_age_ms.map(millis),
             policy_version: wire.policy_version,
+            room: wire.room.map(Into::into),
             sent,
             unix_ms: wire.unix_ms,
             usage: wire.usage.into_iter().map(decode_usage).collect(),
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -48,6 +48,8 @@
     /// Data centre that the peer named in its record or first digest; only peers of the same one
     /// are read from.
     pub data_centre: DataCentreName,
+    /// True if the peer used the sums of all data centres when it sent its last digest.
+    pub has_sums: bool,
     /// True if the peer held the duties when it sent its last digest.
     pub holds_duties: bool,
     /// Time at which the address became known.
@@ -60,6 +62,12 @@
 }
 
 impl Peer {
+    /// Returns true if a digest has come within [`LIVE_TIMEOUT`].
+    fn is_live(&self, now: Duration) -> bool {
+        self.last_digest
+            .is_some_and(|(received_at, _)| now.saturating_sub(received_at) < LIVE_TIMEOUT)
+    }
+
     /// Returns true if no digest has come for [`SILENT_AFTER`], although the address was known.
     fn is_silent(&self, now: Duration) -> bool {
         let received_at = self.last_digest.map(|(received_at, _)| received_at);
@@ -93,6 +101,7 @@
                 let peer = Peer {
                     address,
                     data_centre: data_centre.into(),
+                    has_sums: false,
                     holds_duties: false,
                     known_at: now,
                     last_digest: None,
@@ -120,6 +129,7 @@
         let peer = self.by_name.entry(name.clone()).or_insert_with(|| Peer {
             address,
             data_centre: data_centre.clone(),
+            has_sums: false,
             holds_duties: false,
             known_at: now,
             last_digest: None,
@@ -140,6 +150,19 @@
         }
     }
 
+    /// Records whether a peer uses the sums of all data centres, by its digest.
+    pub fn record_sums(&mut self, name: &InstanceName, has_sums: bool) {
+        if let Some(peer) = self.by_name.get_mut(name) {
+            peer.has_sums = has_sums;
+        }
+    }
+
+    /// Returns the addresses of the peers that use the sums of all data centres.
+    pub fn addresses_with_sums(&self) -> HashSet<SocketAddr> {
+        let with_sums = self.by_name.values().filter(|peer| peer.has_sums);
+        with_sums.map(|peer| peer.address).collect()
+    }
+
     /// Records the version of the policy that a peer named in its digest.
     pub fn record_version(&mut self, name: &InstanceName, version: PolicyVersion) {
         if let Some(peer) = self.by_name.get_mut(name) {
@@ -242,6 +265,42 @@
             .collect()
     }
 
+    /// Returns the peers of a data centre that are not silent, to which a collector sends its sums.
+    pub fn centre_targets(
+        &self,
+        now: Duration,
+        data_centre: &DataCentreName,
+    ) -> Vec<(InstanceName, DigestTarget)> {
+        let of_centre = self.of_centre(data_centre);
+        let active = of_centre.filter(|(_, peer)| !peer.is_silent(now));
+        let target = |peer: &Peer| (peer.address, peer.last_digest.map(|(_, sent)| sent));
+        active
+            .map(|(name, peer)| (name.clone(), target(peer)))
+            .collect()
+    }
+
+    /// Returns the names of all known peers of a data centre.
+    pub fn names_in(&self, data_centre: &DataCentreName) -> impl Iterator<Item = &InstanceName> {
+        self.of_centre(data_centre).map(|(name, _)| name)
+    }
+
+    /// Returns the data centres with live peers.
+    pub fn live_centres(&self, now: Duration) -> Vec<DataCentreName> {
+        let live = self.by_name.values().filter(|peer| peer.is_live(now));
+        let mut centres: Vec<DataCentreName> = live.map(|peer| peer.data_centre.clone()).collect();
+        centres.sort_unstable();
+        centres.dedup();
+        centres
+    }
+
+    fn of_centre(
+        &self,
+        data_centre: &DataCentreName,
+    ) -> impl Iterator<Item = (&InstanceName, &Peer)> {
+        let peers = self.by_name.iter();
+        peers.filter(move |(_, peer)| peer.data_centre == *data_centre)
+    }
+
     /// Returns the time between two digests that this instance sends to the same peer.
     pub fn digest_interval(&self) -> Duration {
         let rounds = self.by_name.len().div_ceil(PEERS_PER_ROUND_MAX).max(1);
@@ -318,10 +377,7 @@
     fn live_ranked(&self, now: Duration, data_centre: &DataCentreName) -> Vec<(u64, SocketAddr)> {
         let mut ranked = Vec::new();
         for (name, peer) in &self.by_name {
-            let is_live = peer
-                .last_digest
-                .is_some_and(|(received_at, _)| now.saturating_sub(received_at) < LIVE_TIMEOUT);
-            if is_live && peer.data_centre == *data_centre {
+            if peer.is_live(now) && peer.data_centre == *data_centre {
                 ranked.push((name_hash(name), peer.address));
             }
         }
--- a/src/room_view.rs
+++ b/src/room_view.rs
@@ -63,15 +63,13 @@
 
     /// Applies the sum to be used of each data centre, if it has changed, in place of the reports of
     /// its instances, which `peers` lists; removes those that have become too old.
-    pub fn apply<'a, P>(
+    pub fn apply(
         &mut self,
         now: Duration,
         fleet: &mut Fleet,
         limits: &mut UsageLimits,
-        peers: impl Fn(&DataCentreName) -> P,
-    ) where
-        P: Iterator<Item = &'a InstanceName>,
-    {
+        peers: &Peers,
+    ) {
         for by_collector in self.sums.values_mut() {
             by_collector.retain(|_, held| held.is_valid(now));
         }
@@ -95,7 +93,9 @@
             if known.is_none() {
                 let (instances, age_ms) = (held.sum.instances, held.sum.inputs_age().as_millis());
                 info!("sum data_centre={centre} state=used instances={instances} age_ms={age_ms}");
-                peers(centre).for_each(|peer| fleet.remove_peer(peer));
+                for peer in peers.names_in(centre) {
+                    fleet.remove_peer(peer);
+                }
             }
             fleet.update_centre_sum(held.inputs_at(), &held.sum);
             let instances = held.sum.instances as usize;
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -135,6 +135,8 @@
     pub retry_budget: RefCell<RetryBudget>,
     /// Settings at startup; a reload does not change them.
     pub settings: ServingSettings,
+    /// Sums of data centres, which are used in place of their instances' digests.
+    pub room: RefCell<RoomExchange>,
     /// Distributes calls over the services of a route by their weights.
     pub splitter: RefCell<WeightedSplitter>,
     /// True once a stop no longer waits for calls: those that end from now on are cut by it.
@@ -185,6 +187,7 @@
             policy_age_max: Cell::new(settings.policy_age_max),
             refuses_calls: Cell::new(false),
             retry_budget: RefCell::default(),
+            room: RefCell::default(),
             settings,
             splitter: RefCell::new(WeightedSplitter::new(seed)),
             started_at: boot_time(),
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -632,6 +632,68 @@
     /// True while the sender holds the duties.
     #[prost(bool, tag = "18")]
     pub holds_duties: bool,
+    /// Absent where all instances send each other a digest in every round.
+    #[prost(message, optional, tag = "19")]
+    pub room: ::core::option::Option<RoomReport>,
+}
+/// Sums over the instances of data centres. Their columns have one value for each server, account or
+/// service that the report lists.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RoomReport {
+    /// True if the digest leaves out loads, demands and work.
+    #[prost(bool, tag = "1")]
+    pub leaves_out: bool,
+    /// Hashes of the servers' names.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub servers: ::prost::alloc::vec::Vec<u32>,
+    #[prost(string, repeated, tag = "3")]
+    pub accounts: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(string, repeated, tag = "4")]
+    pub services: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(message, repeated, tag = "5")]
+    pub sums: ::prost::alloc::vec::Vec<RoomSum>,
+    /// True if the sender uses the sums of all data centres.
+    #[prost(bool, tag = "6")]
+    pub has_sums: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RoomSum {
+    #[prost(string, tag = "1")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// Hash of the name of the collector that made the sum.
+    #[prost(fixed64, tag = "2")]
+    pub collector: u64,
+    /// Time since the sum was made.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// Number of instances, and the mean and the largest age of their digests when the sum was made.
+    #[prost(uint32, tag = "4")]
+    pub instances: u32,
+    #[prost(uint32, tag = "5")]
+    pub mean_age_ms: u32,
+    #[prost(uint32, tag = "6")]
+    pub oldest_age_ms: u32,
+    /// One column for each field of a server's load.
+    #[prost(message, repeated, tag = "7")]
+    pub loads: ::prost::alloc::vec::Vec<RoomColumn>,
+    /// By account: units per second requested, units admitted over the last window.
+    #[prost(float, repeated, tag = "8")]
+    pub asked_per_s: ::prost::alloc::vec::Vec<f32>,
+    #[prost(float, repeated, tag = "9")]
+    pub admitted: ::prost::alloc::vec::Vec<f32>,
+    /// By service: prompt tokens per second, and the median of the estimates of an engine; 0 if there
+    /// is none.
+    #[prost(float, repeated, tag = "10")]
+    pub prefill_tokens_per_s: ::prost::alloc::vec::Vec<f32>,
+    #[prost(float, repeated, tag = "11")]
+    pub engine_tokens_per_ms: ::prost::alloc::vec::Vec<f32>,
+    #[prost(float, repeated, tag = "12")]
+    pub engine_fixed_ms: ::prost::alloc::vec::Vec<f32>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RoomColumn {
+    #[prost(uint32, repeated, tag = "1")]
+    pub values: ::prost::alloc::vec::Vec<u32>,
 }
 /// Process of a backend server that is leaving.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/decisions/usage_limits.rs
+++ b/tests/decisions/usage_limits.rs
@@ -5,6 +5,7 @@
 
 use ebonyspread::DataCentreName;
 use ebonyspread::fleet::Fleet;
+use ebonyspread::peers::Peers;
 use ebonyspread::policy::AccountPolicy;
 use ebonyspread::policy::UsageLimit;
 use ebonyspread::room_sum::RoomCollector;
@@ -197,7 +198,7 @@
                 }
             }
             let Room { fleet, view, .. } = &mut self.rooms[to];
-            view.apply(now, fleet, &mut self.instances[to], |_| [].iter());
+            view.apply(now, fleet, &mut self.instances[to], &Peers::default());
         }
         for from in 0..self.rooms.len() {
             let part = RoomPart {
