--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -235,19 +235,22 @@
 
 impl ServerLoad {
     /// Number of values of [`values`](Self::values).
-    pub const VALUES: usize = 2;
+    pub const VALUES: usize = 2 + QUEUE_CLASSES;
 
     /// Returns the fields as numbers, which can be summed over instances and sent in columns. The
     /// order is that of the wire format: new fields are added at the end.
     pub fn values(&self) -> [u32; Self::VALUES] {
-        [self.running, self.backlog.as_millis() as u32]
+        let [first, second, third] = self.queued_tokens;
+        let backlog_ms = self.backlog.as_millis() as u32;
+        [self.running, backlog_ms, first, second, third]
     }
 
     /// Returns the load with these [`values`](Self::values).
     pub fn from_values(values: [u32; Self::VALUES]) -> Self {
-        let [running, backlog_ms] = values;
+        let [running, backlog_ms, first, second, third] = values;
         Self {
             backlog: Duration::from_millis(u64::from(backlog_ms)),
+            queued_tokens: [first, second, third],
             running,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -347,6 +347,7 @@
 use crate::server_limit::ServerLimit;
 use crate::server_notice::NoticeInForce;
 use crate::server_notice::ServerNotice;
+use crate::server_queue::QUEUE_CLASSES;
 use crate::server_queue::QueueClass;
 use crate::server_queue::QueueTicket;
 use crate::server_queue::QueuedTokens;
