--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -233,6 +233,46 @@
     pub running: u32,
 }
 
+impl ServerLoad {
+    /// Number of values of [`values`](Self::values).
+    pub const VALUES: usize = 2 + QUEUE_CLASSES;
+
+    /// Returns the fields as numbers, which can be summed over instances and sent in columns. The
+    /// order is that of the wire format: new fields are added at the end.
+    pub fn values(&self) -> [u32; Self::VALUES] {
+        let [first, second, third] = self.queued_tokens;
+        let backlog_ms = self.backlog.as_millis() as u32;
+        [self.running, backlog_ms, first, second, third]
+    }
+
+    /// Returns the load with these [`values`](Self::values).
+    pub fn from_values(values: [u32; Self::VALUES]) -> Self {
+        let [running, backlog_ms, first, second, third] = values;
+        Self {
+            backlog: Duration::from_millis(u64::from(backlog_ms)),
+            queued_tokens: [first, second, third],
+            running,
+        }
+    }
+
+    /// Returns the sum of two loads on one server.
+    pub fn plus(&self, other: Self) -> Self {
+        self.combine(other, u32::saturating_add)
+    }
+
+    /// Returns this load without `other`, which is a part of it; at least 0 in each field.
+    pub fn minus(&self, other: Self) -> Self {
+        self.combine(other, u32::saturating_sub)
+    }
+
+    fn combine(&self, other: Self, operation: fn(u32, u32) -> u32) -> Self {
+        let (own, other) = (self.values(), other.values());
+        Self::from_values(std::array::from_fn(|index| {
+            operation(own[index], other[index])
+        }))
+    }
+}
+
 /// Outcome of an attempt, from which the health of its server is updated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -302,8 +342,8 @@
 /// Server that an attempt would be placed on, for [`Fleet::commit`].
 #[derive(Debug)]
 pub struct PlacementEstimate {
-    affinity: PrefixAffinity,
-    prefixes: PrefixHashes,
+    pub(crate) affinity: PrefixAffinity,
+    pub(crate) prefixes: PrefixHashes,
     /// Name of the server.
     pub server: ServerName,
     /// Cost of the server for this call, as in [`PlacedAttempt::wait_estimate`].
@@ -842,7 +882,7 @@
     }
 
     /// Returns true if a server is neither ejected nor in a data centre whose last probe failed.
-    fn is_healthy(&self, server: &FleetServer, now: Duration) -> bool {
+    pub(crate) fn is_healthy(&self, server: &FleetServer, now: Duration) -> bool {
         let centre = self.centres.get(&server.record.data_centre);
         let is_suspected = centre.is_some_and(|state| state.unreachable || state.failed_probes > 0);
         now >= server.ejected_until && !is_suspected
