Order calls of one priority in the queues of servers by the priorities of their routes

Cause: where accounts set the priority, all kinds of calls of an account have the same one, so that short calls with targets of 500 and 600 ms waited behind long prompts in the queues of servers. Change: the class of a call is its priority, then that of its route.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -79,7 +79,7 @@
         deadline: received_at + time_left,
         may_have_run: false,
         priority,
-        queue_class: has_priorities.then(|| QueueClass::from(priority)),
+        queue_class: has_priorities.then(|| QueueClass::new(priority, route.priority)),
         received_at,
         route,
         sends: 0,
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -321,7 +321,7 @@
             AttemptHead {
                 account: self.account.as_ref(),
                 last_event_id,
-                priority: self.priority,
+                priority: self.queue_class.map_or(self.priority, QueueClass::level),
                 server: &attempt.placed.server,
                 time_left: time_left.saturating_sub(REPLY_MARGIN),
             },
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -240,17 +240,19 @@
     /// Returns the fields as numbers, which can be summed over instances and sent in columns. The
     /// order is that of the wire format: new fields are added at the end.
     pub fn values(&self) -> [u32; Self::VALUES] {
-        let [first, second, third] = self.queued_tokens;
-        let backlog_ms = self.backlog.as_millis() as u32;
-        [self.running, backlog_ms, first, second, third]
+        let mut values = [0; Self::VALUES];
+        values[0] = self.running;
+        values[1] = self.backlog.as_millis() as u32;
+        values[2..].copy_from_slice(&self.queued_tokens);
+        values
     }
 
     /// Returns the load with these [`values`](Self::values).
     pub fn from_values(values: [u32; Self::VALUES]) -> Self {
-        let [running, backlog_ms, first, second, third] = values;
+        let [running, backlog_ms, queued @ ..] = values;
         Self {
             backlog: Duration::from_millis(u64::from(backlog_ms)),
-            queued_tokens: [first, second, third],
+            queued_tokens: queued,
             running,
         }
     }
--- a/src/server_queue.rs
+++ b/src/server_queue.rs
@@ -12,8 +12,16 @@
 
 use super::*;
 
-/// Number of priority classes: priorities 0 and 1, and all less urgent ones together.
-pub const QUEUE_CLASSES: usize = 3;
+/// Number of levels that are told apart in the priority of a route: 0, 1, and all less urgent ones
+/// together.
+const ROUTE_LEVELS: usize = 3;
+
+/// Number of levels that are told apart in the priority of a call: 0, and all less urgent ones
+/// together.
+const CALL_LEVELS: usize = 2;
+
+/// Number of priority classes: the levels of calls, each divided by the levels of their routes.
+pub const QUEUE_CLASSES: usize = CALL_LEVELS * ROUTE_LEVELS;
 
 /// Prompt tokens by priority class, the most urgent one first.
 pub type QueuedTokens = [u32; QUEUE_CLASSES];
@@ -22,14 +30,31 @@
 pub type QueueTicket = u64;
 
 /// Priority class of a call. Calls of a class wait for those of the same class and of more urgent
-/// ones.
+/// ones. Where accounts set the priority of their calls, it is often the same for all kinds of calls;
+/// the priorities of the routes then decide which of these go first, so that calls with a short
+/// target do not wait behind long prompts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueClass(usize);
 
+impl QueueClass {
+    /// Returns the class of a call with the priority `call`, which its account may have set, on a
+    /// route with the priority `route`; 0 is the most urgent.
+    pub fn new(call: u32, route: u32) -> Self {
+        let call_level = (call as usize).min(CALL_LEVELS - 1);
+        let route_level = (route as usize).min(ROUTE_LEVELS - 1);
+        Self(call_level * ROUTE_LEVELS + route_level)
+    }
+
+    /// Position of the class; 0 is the most urgent one.
+    pub fn level(self) -> u32 {
+        self.0 as u32
+    }
+}
+
 impl From<u32> for QueueClass {
-    /// Returns the class of a priority; 0 is the most urgent.
+    /// Returns the class of a call that has the priority of its route.
     fn from(priority: u32) -> Self {
-        Self((priority as usize).min(QUEUE_CLASSES - 1))
+        Self::new(priority, priority)
     }
 }
 
