Limit the wait of less urgent calls only while more urgent ones are rejected

Less urgent calls are now held to the targets of more urgent ones only for 4 s after one of these was rejected for its wait, and an account is above its share only if its demand by weight is also 1.5 times the lower quartile.

--- a/src/overload_admission.rs
+++ b/src/overload_admission.rs
@@ -27,6 +27,10 @@
 /// largest of its route: callers send the time that is left of their deadline.
 const RETURNED_TIME_PART: f64 = 0.85;
 
+/// Time after a call was rejected for its wait during which less urgent calls are not accepted at
+/// longer waits than calls like it.
+const URGENT_REJECTED_TIME: Duration = Duration::from_secs(4);
+
 /// Number of seconds over which the largest time left of a route's calls is taken.
 const TIME_LEFT_SECONDS: usize = 10;
 
@@ -48,14 +52,21 @@
     pub answer_time: Option<Duration>,
     /// True if no calls of the service are more urgent.
     pub is_most_urgent: bool,
+    /// Priority of the call; 0 is the most urgent.
+    pub priority: u32,
     /// Name of the route.
     pub route: &'a SmolStr,
-    /// Time until the answer has to begin to be on time, by the call's route and priority.
+    /// Service that the call was addressed to.
+    pub service: &'a ServiceName,
+    /// Time until the answer has to begin to be on time.
     pub target: Duration,
     /// Time until the deadline when the call arrived.
     pub time_given: Duration,
     /// Time until the deadline.
     pub time_left: Duration,
+    /// Shortest target of the call and of more urgent ones, as of
+    /// [`ServicePriorities::limited_target`].
+    pub urgent_target: Duration,
     /// Expected time until the answer begins, with the call's own prefill.
     pub wait: Duration,
 }
@@ -142,6 +153,8 @@
 /// Decides on the calls of one instance.
 #[derive(Debug, Default)]
 pub struct OverloadAdmission {
+    /// Time at which a call was last rejected for its wait, by service and priority.
+    rejected_at: HashMap<ServiceName, BTreeMap<u32, Duration>>,
     /// Average time that a call occupies a slot, in milliseconds, by service without engines.
     slot_times_ms: HashMap<ServiceName, f64>,
     times_left: HashMap<SmolStr, LargestTimeLeft>,
@@ -164,7 +177,7 @@
         let deadline_limit = query.time_left.saturating_sub(answer_time);
         let limit = match query.is_most_urgent || query.aged {
             true => deadline_limit,
-            false => wait_limit(query, returned).min(deadline_limit),
+            false => self.wait_limit(now, query, returned).min(deadline_limit),
         };
         let mut outcome = match () {
             () if query.wait > deadline_limit => AdmissionOutcome::RejectedTimeLeft,
@@ -179,6 +192,10 @@
         {
             outcome = AdmissionOutcome::Served;
         }
+        if outcome == AdmissionOutcome::RejectedWait {
+            let of_service = self.rejected_at.entry(query.service.clone()).or_default();
+            of_service.insert(query.priority, now);
+        }
         Admission {
             limit,
             outcome,
@@ -225,16 +242,26 @@
             }
         }
     }
-}
 
-fn wait_limit(query: &AdmissionQuery<'_>, returned: bool) -> Duration {
-    let part = match returned {
-        true => RETURNED_CALL_PART,
-        false => NEW_CALL_PART,
-    };
-    let factor = match query.above_share {
-        true => ABOVE_SHARE_FACTOR,
-        false => 1.0,
-    };
-    query.target.mul_f64(part * factor)
+    /// Returns the longest wait at which a call that is not the most urgent is accepted. Calls of a
+    /// longer target may wait longer as long as no more urgent ones are rejected for their wait.
+    fn wait_limit(&self, now: Duration, query: &AdmissionQuery<'_>, returned: bool) -> Duration {
+        let of_service = self.rejected_at.get(query.service).into_iter();
+        let mut more_urgent =
+            of_service.flat_map(|by_priority| by_priority.range(..query.priority));
+        let target = match more_urgent.any(|(_, at)| now.saturating_sub(*at) < URGENT_REJECTED_TIME)
+        {
+            true => query.urgent_target,
+            false => query.target,
+        };
+        let part = match returned {
+            true => RETURNED_CALL_PART,
+            false => NEW_CALL_PART,
+        };
+        let factor = match query.above_share {
+            true => ABOVE_SHARE_FACTOR,
+            false => 1.0,
+        };
+        target.mul_f64(part * factor)
+    }
 }
--- a/src/overload_control.rs
+++ b/src/overload_control.rs
@@ -14,10 +14,6 @@
     pub admission: AdmissionQuery<'a>,
     /// Length of the whole prompt.
     pub prompt_tokens: u32,
-    /// Service that the call was addressed to.
-    pub service: &'a ServiceName,
-    /// Target latency of the call's route.
-    pub target: Duration,
     /// Prompt tokens that have to be prefilled.
     pub tokens: f64,
     /// Prompt tokens that a server prefills per millisecond.
@@ -65,9 +61,9 @@
             account: call.account,
             prompt_tokens: call.prompt_tokens,
             route: call.admission.route,
-            service: call.service,
+            service: call.admission.service,
         };
-        let above_share = self.shares.is_above(call.service, call.account);
+        let above_share = self.shares.is_above(call.admission.service, call.account);
         let aged = self.ageing.is_owed(&ageing_query);
         let query = AdmissionQuery {
             above_share,
@@ -78,13 +74,13 @@
         let served = admission.outcome == AdmissionOutcome::Served;
         let returned = admission.returned;
         self.ageing.record(now, &ageing_query, returned, served);
-        let (service, account) = (call.service, call.account);
+        let (service, account) = (call.admission.service, call.account);
         self.shares
             .record(now, service, account, call.tokens, call.units, served);
         let return_query = ReturnQuery {
             own_prefill: duration_from_ms(call.tokens / call.tokens_per_ms),
             service,
-            target: call.target,
+            target: query.target,
             time_left: query.time_left,
             tokens: call.tokens,
             wait: query.wait,
--- a/src/overload_shares.rs
+++ b/src/overload_shares.rs
@@ -16,6 +16,11 @@
 /// Prompt tokens per second at this instance under which an account is forgotten.
 const FORGOTTEN_TOKENS_PER_S: f64 = 0.1;
 
+/// An account counts as above its share only if its demand by weight is also this many times the
+/// lower quartile of all accounts. While all of them exceed their shares alike, none takes capacity
+/// from the others, and a lower limit would only reject calls that could be answered on time.
+const USUAL_EXCESS: f64 = 1.5;
+
 /// Demand of an account.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WeightedDemand {
@@ -25,6 +30,12 @@
     pub weight: f64,
 }
 
+impl WeightedDemand {
+    fn level(&self) -> f64 {
+        self.tokens_per_s / self.weight
+    }
+}
+
 /// Returns the fair level: the tokens per second and weight up to which demands are met if they
 /// exceed `capacity` tokens per second together; `None` if they do not.
 pub fn fair_level(demands: &[WeightedDemand], capacity: f64) -> Option<f64> {
@@ -32,14 +43,13 @@
     if total <= capacity {
         return None;
     }
-    let level_of = |demand: &WeightedDemand| demand.tokens_per_s / demand.weight;
     let mut ascending: Vec<&WeightedDemand> = demands.iter().collect();
-    ascending.sort_unstable_by(|a, b| level_of(a).total_cmp(&level_of(b)));
+    ascending.sort_unstable_by(|a, b| a.level().total_cmp(&b.level()));
     let mut capacity_left = capacity;
     let mut weight_left: f64 = demands.iter().map(|demand| demand.weight).sum();
     for demand in ascending {
         let level = capacity_left / weight_left;
-        if level_of(demand) >= level {
+        if demand.level() >= level {
             return Some(level);
         }
         capacity_left -= demand.tokens_per_s;
@@ -163,6 +173,7 @@
         let Some(level) = fair_level(&demands, capacity) else {
             return;
         };
+        let level = level.max(usual_level(&demands) * USUAL_EXCESS);
         for (name, demand) in names.into_iter().zip(demands) {
             let is_above = demand.tokens_per_s > level * demand.weight;
             shares.above.insert(name.clone(), is_above);
@@ -176,6 +187,17 @@
     }
 }
 
+/// Returns the lower quartile of the demands by weight.
+fn usual_level(demands: &[WeightedDemand]) -> f64 {
+    let mut levels: Vec<f64> = demands.iter().map(WeightedDemand::level).collect();
+    let index = levels.len() / 4;
+    if levels.is_empty() {
+        return 0.0;
+    }
+    let (_, quartile, _) = levels.select_nth_unstable_by(index, f64::total_cmp);
+    *quartile
+}
+
 /// Gives accounts without a limit the mean weight of the others.
 fn set_missing_weights(demands: &mut [WeightedDemand]) {
     let known = demands.iter().filter(|demand| demand.weight > 0.0);
