--- a/tests/decisions/usage_limits.rs
+++ b/tests/decisions/usage_limits.rs
@@ -12,6 +12,7 @@
 use ebonyspread::room_sum::RoomPart;
 use ebonyspread::room_sum::RoomSum;
 use ebonyspread::room_view::RoomView;
+use ebonyspread::usage_limits::AccountDemand;
 use ebonyspread::usage_limits::UsageLimits;
 
 /// Guaranteed bound: a window's allowance may be exceeded by a tenth plus a fixed slack.
@@ -431,3 +432,30 @@
     let refused = f64::from(simulation.refused - before);
     assert!(refused < asked * 0.1, "{refused} of {asked} refused");
 }
+
+// Behind a network partition neither the sum nor the digests of the other data centre arrive, and the
+// two sides would both spend its share.
+#[test]
+fn demand_of_a_data_centre_that_is_cut_off_still_counts() {
+    let admitted_after = |since_sum: Duration| {
+        let mut limits = started(295, Duration::ZERO);
+        let mut now = Duration::from_secs(100);
+        let demand = AccountDemand {
+            admitted: RATE_PER_S * 8.0,
+            asked_per_s: RATE_PER_S * 4.0,
+        };
+        let sum = [("quayside".into(), demand)].into_iter().collect();
+        limits.update_centre_demand(now, &"dc-1".into(), 98, sum);
+        now += since_sum;
+        let one = AccountDemand {
+            admitted: 1.0,
+            asked_per_s: 1.0,
+        };
+        let digest = [("quayside".into(), one)].into_iter().collect();
+        limits.update_peer_demand(now, &"entry-1".into(), &"dc-1".into(), digest);
+        let calls = (0..100).map(|_| limits.admit(now, &account(), CALL_UNITS));
+        calls.filter(Result::is_ok).count()
+    };
+    assert!(admitted_after(Duration::from_secs(14)) <= 1);
+    assert_eq!(admitted_after(Duration::from_secs(16)), 100);
+}
