--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod claims;
 mod engine_model;
+mod fleet;
 mod members;
 mod placement;
 mod process;
@@ -38,6 +39,13 @@
                 /// Number of backend servers; may be repeated.
                 repeated --servers servers: usize
             }
+            /// Time to choose a registered server for a call.
+            cmd fleet {
+                /// Number of servers; may be repeated.
+                repeated --servers servers: usize
+                /// Number of peers that report loads.
+                optional --peers peers: usize
+            }
             /// Simulation of placement policies in virtual time.
             cmd placement {
                 /// Experiment file (TOML).
@@ -106,6 +114,9 @@
         EbonyspreadBenchCmd::Members(options) => members::run(&options),
         EbonyspreadBenchCmd::Placement(options) => placement::run(&options),
         EbonyspreadBenchCmd::Process(options) => process::run(&options),
+        EbonyspreadBenchCmd::Fleet(options) => {
+            fleet::run(&options.servers, options.peers.unwrap_or(76))
+        }
         EbonyspreadBenchCmd::Routing(options) => routing::run(&options.servers),
         EbonyspreadBenchCmd::Table(options) => table::run(&options.servers),
     };
