--- a/src/fleet_choice.rs
+++ b/src/fleet_choice.rs
@@ -30,7 +30,7 @@
 }
 
 /// Candidates with the highest rendezvous hashes, highest first.
-type Ranked<'a> = SmallVec<[(u64, &'a FleetServer); CANDIDATES + 1]>;
+type Ranked<'a> = SmallVec<[(f64, &'a FleetServer); CANDIDATES + 1]>;
 
 impl Fleet {
     /// Chooses the server of a call of a service whose routes have different priorities. Returns its
@@ -58,7 +58,8 @@
                 continue;
             }
             let id = server.record.id.as_bytes();
-            insert_ranked(&mut ranked, xxh3_64_with_seed(id, shared_hash), server);
+            let hash = xxh3_64_with_seed(id, shared_hash);
+            insert_ranked(&mut ranked, server.speed.rendezvous_score(hash), server);
             if !server.queue.is_empty() || server.running() >= server.record.slots {
                 continue;
             }
@@ -69,8 +70,9 @@
         }
         let mut best: Option<Candidate<'_>> = None;
         let idle = idle.map(|(_, server)| server);
+        let others = self.candidates(now, query, prefixes, affinity, healthy_only);
         let candidates = ranked.iter().map(|(_, server)| *server);
-        for server in candidates.chain(idle) {
+        for server in candidates.chain(idle).chain(others) {
             let candidate = self.weigh_candidate(now, server, query, prompt, prefixes, affinity);
             if best
                 .as_ref()
@@ -112,7 +114,7 @@
     }
 }
 
-fn insert_ranked<'a>(ranked: &mut Ranked<'a>, rank: u64, server: &'a FleetServer) {
+fn insert_ranked<'a>(ranked: &mut Ranked<'a>, rank: f64, server: &'a FleetServer) {
     let position = ranked.partition_point(|(known, _)| *known > rank);
     if position >= CANDIDATES {
         return;
--- a/src/room_view.rs
+++ b/src/room_view.rs
@@ -77,7 +77,7 @@
         let is_dropped = |centre: &DataCentreName| !self.sums.contains_key(centre);
         for centre in self.applied.keys().filter(|centre| is_dropped(centre)) {
             warn!("sum data_centre={centre} state=dropped; the digests of its instances are used");
-            fleet.remove_centre_sum(centre);
+            fleet.remove_centre_sum(now, centre);
         }
         self.applied
             .retain(|centre, _| self.sums.contains_key(centre));
@@ -94,7 +94,7 @@
                 let (instances, age_ms) = (held.sum.instances, held.sum.inputs_age().as_millis());
                 info!("sum data_centre={centre} state=used instances={instances} age_ms={age_ms}");
                 for peer in peers.names_in(centre) {
-                    fleet.remove_peer(peer);
+                    fleet.remove_peer(now, peer);
                 }
             }
             fleet.update_centre_sum(held.inputs_at(), &held.sum);
--- a/tests/decisions/overload_admission.rs
+++ b/tests/decisions/overload_admission.rs
@@ -238,6 +238,7 @@
 fn query(prompt: Option<&Prompt>) -> PlacementQuery<'_> {
     PlacementQuery {
         prompt,
+        queue_class: None,
         service: &SERVICE,
         suspect: false,
         tried: &[],
--- a/tests/decisions/room.rs
+++ b/tests/decisions/room.rs
@@ -17,6 +17,7 @@
 use ebonyspread::room_round::DATAGRAM_BYTES_MAX;
 use ebonyspread::room_round::encode_datagrams;
 use ebonyspread::room_sum::ROOM_SUM_TTL;
+use ebonyspread::server_speed::SpeedSums;
 use ebonyspread::usage_limits::AccountDemand;
 use ebonyspread::usage_limits::UsageLimits;
 
@@ -130,7 +131,11 @@
     fn set_running(&mut self, running: u32) {
         for instance in &mut self.instances {
             let backlog = Duration::ZERO;
-            let load = ServerLoad { backlog, running };
+            let load = ServerLoad {
+                backlog,
+                running,
+                ..ServerLoad::default()
+            };
             instance.digest.loads = [(server(0), load)].into_iter().collect();
         }
     }
@@ -388,7 +393,13 @@
         let load = |part: usize| {
             let load = ServerLoad {
                 backlog: Duration::from_millis(180),
+                queued_tokens: [0, 0, 2_890, 0, 1_800, 9_190],
                 running: 1,
+                speed: SpeedSums {
+                    answers: 1.5,
+                    expected_ms: 310.0,
+                    measured_ms: 350.0,
+                },
             };
             (server((index * 37 + part * 23) % 250), load)
         };
