Replay a burst and a flood against overload control

The replays drive the decisions of 69 instances by a model of the queues at the engines, with the thumbnails customer's rates, targets and time-outs and cold caches; reports are 300 ms old at most.

Three accounts at 6.5 times, 90 engines: the part of the others' calls on time falls by less than 5 in 100.

--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -22,6 +22,8 @@
 mod lease;
 #[path = "decisions/overload_admission.rs"]
 mod overload_admission;
+#[path = "decisions/overload_replay.rs"]
+mod overload_replay;
 #[path = "decisions/part_quarantine.rs"]
 mod part_quarantine;
 #[path = "decisions/peers.rs"]
