Do not limit the wait of routes without a target latency

Cause: reading the change again. A route whose configuration names no target has a target of zero, so that all its calls would have been rejected unless a server was idle. Such routes are limited by their deadline alone.

--- a/src/overload_admission.rs
+++ b/src/overload_admission.rs
@@ -58,7 +58,7 @@
     pub route: &'a SmolStr,
     /// Service that the call was addressed to.
     pub service: &'a ServiceName,
-    /// Time until the answer has to begin to be on time.
+    /// Time until the answer has to begin to be on time; zero if the route has no target.
     pub target: Duration,
     /// Time until the deadline when the call arrived.
     pub time_given: Duration,
@@ -175,7 +175,9 @@
         let returned = query.time_given < largest.mul_f64(RETURNED_TIME_PART);
         let answer_time = query.answer_time.unwrap_or_default();
         let deadline_limit = query.time_left.saturating_sub(answer_time);
-        let limit = match query.is_most_urgent || query.aged {
+        // Without a target no answer is late before its deadline.
+        let has_deadline_only = query.is_most_urgent || query.aged || query.target.is_zero();
+        let limit = match has_deadline_only {
             true => deadline_limit,
             false => self.wait_limit(now, query, returned).min(deadline_limit),
         };
--- a/src/overload_priorities.rs
+++ b/src/overload_priorities.rs
@@ -13,10 +13,12 @@
 }
 
 impl ServicePriorities {
-    /// Adds calls of a priority whose route has the given target latency.
+    /// Adds calls of a priority whose route has the given target latency; zero for none.
     pub fn add(&mut self, priority: u32, target: Duration) {
         let shortest = self.targets.entry(priority).or_insert(target);
-        *shortest = target.min(*shortest);
+        if shortest.is_zero() || !target.is_zero() && target < *shortest {
+            *shortest = target;
+        }
     }
 
     /// Returns true if the calls of the service have different priorities.
@@ -35,7 +37,8 @@
     /// a longer wait than a more urgent one.
     pub fn limited_target(&self, priority: u32, target: Duration) -> Duration {
         let more_urgent = self.targets.range(..priority).skip(1);
-        let shortest = more_urgent.map(|(_, target)| *target).min();
+        let targets = more_urgent.map(|(_, target)| *target);
+        let shortest = targets.filter(|target| !target.is_zero()).min();
         shortest.map_or(target, |shortest| shortest.min(target))
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -24,6 +24,8 @@
 mod overload_admission;
 #[path = "decisions/overload_replay.rs"]
 mod overload_replay;
+#[path = "decisions/overload_shares.rs"]
+mod overload_shares;
 #[path = "decisions/part_quarantine.rs"]
 mod part_quarantine;
 #[path = "decisions/peers.rs"]
