Share forwarded sums between the digests of a round

A collector of 98 instances cloned the sums of the other data centres for each of them, and looked up each server in each sum to encode it. The digests now share the sums, and the columns are filled in one pass.

--- a/src/room_exchange.rs
+++ b/src/room_exchange.rs
@@ -96,7 +96,7 @@
             let sum = self.collector.sum(now, name_hash(instance), centre);
             if let Some(sum) = sum {
                 let others = self.collector.without(now, &sum, instance);
-                self.view.record(now, now, others);
+                self.view.record(now, now, Arc::new(others));
                 round.set_sums(sum, self.view.sums_to_forward(now, centre));
             }
         }
--- a/src/room_round.rs
+++ b/src/room_round.rs
@@ -13,12 +13,12 @@
 #[derive(Debug, Default)]
 pub struct RoomRound {
     /// Sums of the other data centres, if this instance is a collector.
-    forwarded: Vec<RoomSum>,
+    forwarded: Vec<Arc<RoomSum>>,
     /// True if this instance uses the sums of all data centres.
     has_all_sums: bool,
     now: Duration,
     /// Sum of this data centre with this instance's own part, if it is a collector.
-    own_sum: Option<RoomSum>,
+    own_sum: Option<Arc<RoomSum>>,
 }
 
 impl RoomRound {
@@ -36,8 +36,8 @@
     }
 
     /// Sets what a collector sends: the sum of its data centre, and those of the others.
-    pub fn set_sums(&mut self, own_sum: RoomSum, forwarded: Vec<RoomSum>) {
-        self.own_sum = Some(own_sum);
+    pub fn set_sums(&mut self, own_sum: RoomSum, forwarded: Vec<Arc<RoomSum>>) {
+        self.own_sum = Some(Arc::new(own_sum));
         self.forwarded = forwarded;
     }
 
@@ -89,7 +89,7 @@
         digest: &mut PeerDigest,
     ) {
         let own_sum = self.own_sum.iter();
-        let own_sum = own_sum.map(|sum| collector.without(self.now, sum, instance));
+        let own_sum = own_sum.map(|sum| Arc::new(collector.without(self.now, sum, instance)));
         let report = digest.room.get_or_insert_default();
         report.sums = own_sum.chain(self.forwarded.iter().cloned()).collect();
     }
--- a/src/room_view.rs
+++ b/src/room_view.rs
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 struct HeldSum {
     received_at: Duration,
-    sum: RoomSum,
+    sum: Arc<RoomSum>,
 }
 
 impl HeldSum {
@@ -49,7 +49,7 @@
 impl RoomView {
     /// Stores a sum whose age refers to `received_at`, unless its inputs are too old or a newer one
     /// of the same collector is known.
-    pub fn record(&mut self, now: Duration, received_at: Duration, sum: RoomSum) {
+    pub fn record(&mut self, now: Duration, received_at: Duration, sum: Arc<RoomSum>) {
         let held = HeldSum { received_at, sum };
         if !held.is_valid(now) {
             return;
@@ -120,13 +120,15 @@
 
     /// Returns the sums in use of all data centres but `own`, with their present age, for a
     /// collector to forward within its data centre.
-    pub fn sums_to_forward(&self, now: Duration, own: &DataCentreName) -> Vec<RoomSum> {
+    pub fn sums_to_forward(&self, now: Duration, own: &DataCentreName) -> Vec<Arc<RoomSum>> {
         let others = self.sums.iter().filter(|(centre, _)| *centre != own);
         let newest = others.filter_map(|(_, by_collector)| newest(by_collector));
         let valid = newest.filter(|held| held.is_valid(now));
-        let forwarded = valid.map(|held| RoomSum {
-            age: now.saturating_sub(held.made_at()),
-            ..held.sum.clone()
+        let forwarded = valid.map(|held| {
+            Arc::new(RoomSum {
+                age: now.saturating_sub(held.made_at()),
+                ..RoomSum::clone(&held.sum)
+            })
         });
         forwarded.collect()
     }
--- a/src/room_wire.rs
+++ b/src/room_wire.rs
@@ -14,7 +14,7 @@
     /// True if the digest leaves out loads, demands and work.
     pub leaves_out: bool,
     /// Sums of data centres; empty unless the sender is a collector.
-    pub sums: Vec<RoomSum>,
+    pub sums: Vec<Arc<RoomSum>>,
 }
 
 impl From<&RoomReport> for wire::RoomReport {
@@ -44,7 +44,7 @@
             has_sums: wire.has_sums,
             leaves_out: wire.leaves_out,
             sums: sums
-                .map(|sum| decode_sum(sum, &wire.servers, &accounts, &services))
+                .map(|sum| Arc::new(decode_sum(sum, &wire.servers, &accounts, &services)))
                 .collect(),
         }
     }
@@ -57,8 +57,11 @@
     services: &[&ServiceName],
 ) -> wire::RoomSum {
     let mut columns = [(); ServerLoad::VALUES].map(|()| Vec::with_capacity(servers.len()));
+    let mut loads = sum.loads.iter().peekable();
     for server in servers {
-        let load = sum.loads.get(server).copied().unwrap_or_default();
+        // Both are in order.
+        let load = loads.next_if(|(of, _)| *of == server);
+        let load = load.map_or_else(ServerLoad::default, |(_, load)| *load);
         for (column, value) in columns.iter_mut().zip(load.values()) {
             column.push(value);
         }
--- a/tests/decisions/usage_limits.rs
+++ b/tests/decisions/usage_limits.rs
@@ -1,6 +1,7 @@
 //! Usage limits over several instances that report to each other what they admit.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ebonyspread::DataCentreName;
@@ -176,7 +177,7 @@
             let centre = centre_of(index);
             sums.extend(room.collector.sum(now, index as u64, &centre));
         }
-        let forwarded: Vec<Vec<RoomSum>> = (0..CENTRES * COLLECTORS)
+        let forwarded: Vec<Vec<Arc<RoomSum>>> = (0..CENTRES * COLLECTORS)
             .map(|index| {
                 self.rooms[index]
                     .view
@@ -190,12 +191,13 @@
                 if centre_of(to) == sum.data_centre {
                     let sum = self.rooms[from].collector.without(now, sum, &name);
                     let view = &mut self.rooms[to].view;
-                    view.record(now, now, sum);
+                    view.record(now, now, Arc::new(sum));
                     for sum in &forwarded[from] {
                         view.record(now, now, sum.clone());
                     }
                 } else if to < CENTRES * COLLECTORS {
-                    self.rooms[to].view.record(now, now, sum.clone());
+                    let sum = Arc::new(sum.clone());
+                    self.rooms[to].view.record(now, now, sum);
                 }
             }
             let Room { fleet, view, .. } = &mut self.rooms[to];
