Shorten the choice of a server to one look at each

`Fleet::place` looked up the data centre of every server, computed powers and hashes for each and summed the calls of all peers' reports at each. The weights are kept, only suspected data centres are compared, the peers' calls are summed as their reports arrive, and the servers that a call compares are chosen by index instead of by a hash of each name.

Tests of the wire form of queues and of the services that have them are added.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -109,6 +109,8 @@
     pub record: ServerRecord,
     /// Latest loads reported by other instances for their calls there.
     pub(crate) peer_loads: SmallVec<[(InstanceName, Duration, ServerLoad); 8]>,
+    /// Sum of `running` in `peer_loads`.
+    pub(crate) peer_running: u32,
     /// Prompts that wait there, if the routes of its service have different priorities.
     pub(crate) queue: ServerQueue,
     /// Speed of its engine, if the routes of its service have different priorities.
@@ -133,6 +135,7 @@
             prefixes: PrefixEstimate::new(CACHED_PARTS_MAX),
             record,
             peer_loads: SmallVec::new(),
+            peer_running: 0,
             queue: ServerQueue::default(),
             running_here: 0,
             seen_at: now,
@@ -159,8 +162,7 @@
     /// Returns the calls of this instance running there plus those in the last reports of the
     /// peers.
     pub fn running(&self) -> u32 {
-        let of_peers: u32 = self.peer_loads.iter().map(|(.., load)| load.running).sum();
-        self.running_here + of_peers
+        self.running_here + self.peer_running
     }
 
     /// Remaining time of the prefill (the processing before the first token is generated) of the
@@ -811,8 +813,10 @@
 
     /// Returns true if a server is neither ejected nor in a data centre whose last probe failed.
     fn is_healthy(&self, server: &FleetServer, now: Duration) -> bool {
-        let centre = self.centres.get(&server.record.data_centre);
-        let is_suspected = centre.is_some_and(|state| state.unreachable || state.failed_probes > 0);
-        now >= server.ejected_until && !is_suspected
+        let is_suspected = |state: &CentreState| state.unreachable || state.failed_probes > 0;
+        let mut centres = self.centres.iter();
+        now >= server.ejected_until
+            && !centres
+                .any(|(centre, state)| is_suspected(state) && *centre == server.record.data_centre)
     }
 }
--- a/src/fleet_peers.rs
+++ b/src/fleet_peers.rs
@@ -30,6 +30,7 @@
         for (id, load) in loads {
             if let Some(server) = self.servers.get_mut(id) {
                 server.peer_loads.push((peer.clone(), now, *load));
+                server.peer_running = server.peer_running.saturating_add(load.running);
                 server.queue.add_report(now, load.queued_tokens);
                 server.speed.add_report(now, load.speed);
                 servers.push(id.clone());
@@ -49,8 +50,10 @@
         for id in servers {
             if let Some(server) = self.servers.get_mut(&id) {
                 let (queue, speed) = (&mut server.queue, &mut server.speed);
+                let running = &mut server.peer_running;
                 server.peer_loads.retain(|(instance, at, load)| {
                     if instance == peer {
+                        *running = running.saturating_sub(load.running);
                         queue.remove_report(*at, load.queued_tokens);
                         speed.remove_report(now, *at, load.speed);
                     }
--- a/src/fleet_queues.rs
+++ b/src/fleet_queues.rs
@@ -6,7 +6,7 @@
 /// Interval at which the utilization of a service and the speeds of its servers are estimated anew.
 const ENGINES_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Fewest servers, chosen by hash, that are compared for a call. An instance knows the calls that the
+/// Fewest servers, chosen at random, that are compared for a call. An instance knows the calls that the
 /// others sent within the last second only in part: if all of them compared all servers, they would
 /// choose the same few that seemed idle. With four servers instead of two, fewer calls stay where
 /// their shared parts are cached (0.73 instead of 0.80 of them, with 76 instances).
@@ -16,7 +16,7 @@
 /// shorter one.
 const WAIT_BOUND_MS: f64 = 100.0;
 
-/// Distinguishes the hashes that spread calls from those that choose preferred servers.
+/// Distinguishes the hashes that choose other servers from those that choose preferred ones.
 const SPREAD_SEED: u64 = 0x5eed;
 
 /// Servers that fit without an allocation.
@@ -58,6 +58,15 @@
     }
 }
 
+/// Returns `count` different numbers below `len`, or some fewer, that depend on `seed`.
+fn choose_indexes(seed: u64, count: usize, len: usize) -> SmallVec<[usize; 8]> {
+    let hash = xxh3_64(&seed.to_le_bytes());
+    let first = (hash >> 32) as usize % len;
+    let stride = 1 + (hash as u32) as usize % (len - 1).max(1);
+    let chosen = (0..count).map(|number| (first + number * stride) % len);
+    chosen.collect()
+}
+
 impl Fleet {
     /// Returns the servers of which the one with the lowest cost gets the call. For a call in a queue
     /// they are those that may have its shared parts cached and a few others, which differ between
@@ -94,17 +103,15 @@
             return eligible;
         }
         let seed = prefixes.last().copied().unwrap_or_default() ^ SPREAD_SEED;
-        let hash_of = |server: &&FleetServer| xxh3_64_with_seed(server.record.id.as_bytes(), seed);
-        let mut hashes: SmallVec<[u64; CANDIDATES]> = eligible.iter().map(hash_of).collect();
-        let mut sorted = hashes.clone();
-        let (_, limit, _) = sorted.select_nth_unstable(choices - 1);
-        let shared_count = prompt.shared_count();
-        hashes.reverse();
+        let chosen = choose_indexes(seed, choices, eligible.len());
+        let shared = prompt.shared_count().checked_sub(1);
+        let shared = shared.and_then(|last| prefixes.get(last));
+        let mut index = 0;
         eligible.retain(|server| {
-            let is_chosen = hashes.pop().is_some_and(|hash| hash <= *limit);
-            is_chosen
+            index += 1;
+            chosen.contains(&(index - 1))
                 || affinity.names(&server.record.id)
-                || shared_count > 0 && server.prefixes.cached_blocks(prefixes) >= shared_count
+                || shared.is_some_and(|hash| server.prefixes.contains(*hash))
         });
         eligible
     }
@@ -180,22 +187,28 @@
         if known.is_some_and(|known| now.saturating_sub(known.at) < ENGINES_INTERVAL) {
             return;
         }
-        let (mut busy, mut servers) = (0_u32, 0_u32);
+        let mut sums_by_server: SmallVec<[SpeedSums; CANDIDATES]> = SmallVec::new();
         let mut sums = SpeedSums::default();
+        let mut busy = 0;
         for server in self.servers.values() {
             if server.record.service == *service && !server.is_leaving() {
-                sums = sums.plus(server.speed.sums(now));
+                let of_server = server.speed.sums(now);
+                sums = sums.plus(of_server);
+                sums_by_server.push(of_server);
+                busy += usize::from(!server.queue.is_empty());
             }
         }
         let mean = sums.ratio();
+        let mut of_servers = sums_by_server.iter();
         for server in self.servers.values_mut() {
-            if server.record.service == *service && !server.is_leaving() {
-                server.speed.update(now, mean);
-                servers += 1;
-                busy += u32::from(!server.queue.is_empty());
+            if server.record.service == *service
+                && !server.is_leaving()
+                && let Some(sums) = of_servers.next()
+            {
+                server.speed.update(*sums, mean);
             }
         }
-        let value = f64::from(busy) / f64::from(servers.max(1));
+        let value = busy as f64 / sums_by_server.len().max(1) as f64;
         let utilization = Utilization { at: now, value };
         self.utilizations.insert(service.clone(), utilization);
     }
--- a/src/prefix.rs
+++ b/src/prefix.rs
@@ -60,6 +60,11 @@
         count
     }
 
+    /// Returns true if the block with this hash is estimated to be cached.
+    pub fn contains(&self, hash: u64) -> bool {
+        self.used_at.contains_key(&hash)
+    }
+
     /// Records that a prompt was sent to the server, which is then assumed to have all of its
     /// hashed blocks cached.
     pub fn record(&mut self, now: Duration, hashes: &[u64]) {
--- a/src/server_queue.rs
+++ b/src/server_queue.rs
@@ -54,7 +54,7 @@
 struct PeerQueue {
     tokens: [u64; QUEUE_CLASSES],
     /// Tokens times the time of their report in milliseconds, from which their mean age follows.
-    tokens_by_ms: [u128; QUEUE_CLASSES],
+    tokens_by_ms: [f64; QUEUE_CLASSES],
 }
 
 /// Prompt that this instance has sent and that is not being answered yet.
@@ -110,7 +110,7 @@
     pub(crate) fn add_report(&mut self, at: Duration, tokens: QueuedTokens) {
         for (class, tokens) in tokens.into_iter().enumerate() {
             self.peers.tokens[class] += u64::from(tokens);
-            self.peers.tokens_by_ms[class] += u128::from(tokens) * at.as_millis();
+            self.peers.tokens_by_ms[class] += f64::from(tokens) * at.as_millis() as f64;
         }
     }
 
@@ -118,7 +118,12 @@
     pub(crate) fn remove_report(&mut self, at: Duration, tokens: QueuedTokens) {
         for (class, tokens) in tokens.into_iter().enumerate() {
             self.peers.tokens[class] -= u64::from(tokens);
-            self.peers.tokens_by_ms[class] -= u128::from(tokens) * at.as_millis();
+            let by_ms = &mut self.peers.tokens_by_ms[class];
+            // An empty sum starts from zero again, so that errors of rounding do not add up.
+            *by_ms = match self.peers.tokens[class] {
+                0 => 0.0,
+                _ => *by_ms - f64::from(tokens) * at.as_millis() as f64,
+            };
         }
     }
 
@@ -134,8 +139,8 @@
         if of_peers == 0 {
             return own as f64;
         }
-        let by_ms: u128 = self.peers.tokens_by_ms[..=class.0].iter().sum();
-        let reported_at_ms = by_ms as f64 / of_peers as f64;
+        let by_ms: f64 = self.peers.tokens_by_ms[..=class.0].iter().sum();
+        let reported_at_ms = by_ms / of_peers as f64;
         let age_ms = (now.as_secs_f64() * 1_000.0 - reported_at_ms).max(0.0);
         own as f64 + (of_peers as f64 - age_ms * free_per_ms).max(0.0)
     }
--- a/src/server_speed.rs
+++ b/src/server_speed.rs
@@ -24,10 +24,10 @@
 /// mostly choose the same server.
 const WEIGHT_RATIO: f64 = 1.25;
 
-/// Distance, in steps of [`WEIGHT_RATIO`], between a speed and the present weight beyond which the
-/// weight changes. With half a step, which rounds to the nearest weight, noise moves shared parts
-/// back and forth between servers.
-const WEIGHT_HYSTERESIS: f64 = 0.8;
+/// Ratio between a speed and the present weight beyond which the weight changes: 0.8 steps of
+/// [`WEIGHT_RATIO`]. With half a step, which rounds to the nearest weight, noise would move shared
+/// parts back and forth between servers.
+const WEIGHT_HYSTERESIS: f64 = 1.195;
 
 /// Largest ratio of the measured to the expected time that is counted of an answer. It covers an
 /// engine of 0.6 times the mean speed that has become 2.5 times slower; longer times are waits for
@@ -55,6 +55,9 @@
 
 impl SpeedSums {
     fn aged(self, age: Duration) -> Self {
+        if self.answers == 0.0 {
+            return self;
+        }
         let factor = (-age.as_secs_f32() / HALF_LIFE.as_secs_f32()).exp2();
         Self {
             answers: self.answers * factor,
@@ -124,8 +127,8 @@
     own: TimedSums,
     of_peers: TimedSums,
     speed: f64,
-    /// Logarithm of the weight to the base [`WEIGHT_RATIO`].
-    weight_steps: f64,
+    /// Weight for rendezvous hashing, a power of [`WEIGHT_RATIO`].
+    weight: f64,
 }
 
 impl Default for ServerSpeed {
@@ -135,7 +138,7 @@
             own: TimedSums::default(),
             of_peers: TimedSums::default(),
             speed: 1.0,
-            weight_steps: 0.0,
+            weight: 1.0,
         }
     }
 }
@@ -167,7 +170,7 @@
     }
 
     /// Returns the sums over the answers to all instances.
-    pub(crate) fn sums(&self, now: Duration) -> SpeedSums {
+    pub fn sums(&self, now: Duration) -> SpeedSums {
         self.own.at(now).plus(self.of_peers.at(now))
     }
 
@@ -184,12 +187,12 @@
         self.of_peers.set(now, known.minus(report));
     }
 
-    /// Estimates the speed anew from the answers to all instances.
-    pub fn update(&mut self, now: Duration, mean: f64) {
-        self.speed = self.sums(now).speed(mean);
-        let steps = self.speed.log(WEIGHT_RATIO);
-        if (steps - self.weight_steps).abs() > WEIGHT_HYSTERESIS {
-            self.weight_steps = steps.round();
+    /// Estimates the speed anew from [`sums`](Self::sums) and the mean ratio of the service.
+    pub fn update(&mut self, sums: SpeedSums, mean: f64) {
+        self.speed = sums.speed(mean);
+        let ratio = self.speed / self.weight;
+        if !(1.0 / WEIGHT_HYSTERESIS..=WEIGHT_HYSTERESIS).contains(&ratio) {
+            self.weight = WEIGHT_RATIO.powf(self.speed.log(WEIGHT_RATIO).round());
         }
     }
 
@@ -202,6 +205,6 @@
     /// score is chosen; the chance of that is proportional to the weight.
     pub(crate) fn rendezvous_score(&self, hash: u64) -> f64 {
         let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        WEIGHT_RATIO.powf(self.weight_steps) / (-uniform.ln()).max(f64::MIN_POSITIVE)
+        self.weight / (-uniform.ln()).max(f64::MIN_POSITIVE)
     }
 }
--- a/tests/decisions/server_queue.rs
+++ b/tests/decisions/server_queue.rs
@@ -5,9 +5,16 @@
 use ebonyspread::fleet::Fleet;
 use ebonyspread::fleet::PlacedAttempt;
 use ebonyspread::fleet::PlacementQuery;
+use ebonyspread::fleet::ServerLoad;
+use ebonyspread::peer_digest::PeerDigest;
+use ebonyspread::policy::CallKind;
+use ebonyspread::policy::Policy;
+use ebonyspread::policy::PolicyRoute;
 use ebonyspread::prompt::Prompt;
 use ebonyspread::prompt::PromptPart;
 use ebonyspread::server_queue::QueueClass;
+use ebonyspread::server_queue::QueuedTokens;
+use ebonyspread::server_speed::SpeedSums;
 
 use crate::engine_replay::Deployment;
 use crate::engine_replay::Kind;
@@ -172,3 +179,53 @@
     fleet.leave_queue(&third);
     assert_eq!(queued(&fleet), [0, 0, 0]);
 }
+
+// Peers that misread the counts would see queues at the wrong class, or none.
+#[yare::parameterized(
+    none = { [0, 0, 0] },
+    only_urgent = { [700, 0, 0] },
+    only_least_urgent = { [0, 0, 9_190] },
+    all = { [1, u32::MAX, 3] },
+)]
+fn digests_carry_queues_by_class(queued_tokens: QueuedTokens) {
+    let load = ServerLoad {
+        queued_tokens,
+        running: 1,
+        speed: SpeedSums {
+            answers: 1.5,
+            expected_ms: 200.0,
+            measured_ms: 500.0,
+        },
+        ..ServerLoad::default()
+    };
+    let digest = PeerDigest {
+        loads: [(server_name(0), load)].into_iter().collect(),
+        ..PeerDigest::default()
+    };
+    let decoded = PeerDigest::decode(&digest.encode()).unwrap();
+    assert_eq!(decoded.loads, digest.loads);
+}
+
+// Services whose routes have one priority are to be served as before, whatever other services have.
+#[test]
+fn only_services_with_routes_of_different_priorities_have_queues() {
+    let mut policy = Policy::new(1);
+    let routes = [("a", 0), ("a", 2), ("b", 1), ("b", 1), ("c", 0)];
+    for (index, (service, priority)) in routes.into_iter().enumerate() {
+        policy.add_route(PolicyRoute {
+            anonymous: false,
+            attempts_max: 2,
+            call_kind: CallKind::Idempotent,
+            gap_target: Duration::ZERO,
+            host: "host".into(),
+            name: format!("route-{index}").into(),
+            path_prefix: format!("/{index}/").into(),
+            priority,
+            services: [(service.into(), 1)].into_iter().collect(),
+            target_latency: Duration::from_millis(500),
+            timeout: Duration::from_secs(5),
+        });
+    }
+    let have_queues = ["a", "b", "c", "d"].map(|service| policy.has_priorities(service));
+    assert_eq!(have_queues, [true, false, false, false]);
+}
--- a/tests/decisions/server_speed.rs
+++ b/tests/decisions/server_speed.rs
@@ -107,14 +107,14 @@
         now += MILLI * 150;
     }
     let [slow, other] = &mut speeds;
-    other.update(now, 1.0);
-    slow.update(now, 1.0);
+    other.update(other.sums(now), 1.0);
+    slow.update(slow.sums(now), 1.0);
     assert!((other.speed() - 1.0).abs() < 0.01, "{}", other.speed());
     assert!(slow.speed() < 0.5, "{}", slow.speed());
     let deviation = 1.0 - slow.speed();
-    slow.update(now + MILLI * 8_000, 1.0);
+    slow.update(slow.sums(now + MILLI * 8_000), 1.0);
     assert!(1.0 - slow.speed() < deviation / 2.0, "{}", slow.speed());
-    slow.update(now + MILLI * 30_000, 1.0);
+    slow.update(slow.sums(now + MILLI * 30_000), 1.0);
     assert!((slow.speed() - 1.0).abs() < 0.01, "{}", slow.speed());
 }
 
@@ -126,11 +126,11 @@
     let sums = peer.own_sums(NOW);
     let mut speed = ServerSpeed::default();
     speed.add_report(NOW, sums);
-    speed.update(NOW, 1.0);
+    speed.update(speed.sums(NOW), 1.0);
     assert!(speed.speed() < 0.8, "{}", speed.speed());
     let later = NOW + MILLI * 700;
     speed.remove_report(later, NOW, sums);
-    speed.update(later, 1.0);
+    speed.update(speed.sums(later), 1.0);
     assert!((speed.speed() - 1.0).abs() < 0.001, "{}", speed.speed());
     assert_eq!(peer.own_sums(NOW + MILLI * 10_000), SpeedSums::default());
 }
