--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -93,7 +93,7 @@
     for index in (peer % 2..servers).step_by(2) {
         let load = ServerLoad {
             backlog: Duration::from_millis(40),
-            queued_tokens: [0, 1_800, 2_890],
+            queued_tokens: [0, 0, 0, 0, 1_800, 2_890],
             running: 2,
             speed: SpeedSums {
                 answers: 1.0,
--- a/src/fleet_choice.rs
+++ b/src/fleet_choice.rs
@@ -49,14 +49,17 @@
         let shared_hash = prompt
             .shared_count()
             .checked_sub(1)
-            .and_then(|last| prefixes.get(last).copied())
-            .unwrap_or(own_hash);
+            .and_then(|last| prefixes.get(last).copied());
         let mut ranked = Ranked::new();
         let mut idle: Option<(u64, &FleetServer)> = None;
         for server in self.servers.values() {
             if !self.is_eligible(server, now, query, healthy_only) {
                 continue;
             }
+            // Prompts without shared parts need no agreement between instances.
+            let Some(shared_hash) = shared_hash else {
+                break;
+            };
             let id = server.record.id.as_bytes();
             let hash = xxh3_64_with_seed(id, shared_hash);
             insert_ranked(&mut ranked, server.speed.rendezvous_score(hash), server);
--- a/src/room_wire.rs
+++ b/src/room_wire.rs
@@ -5,6 +5,15 @@
 
 use super::*;
 
+/// Prompt tokens in one unit of a sum.
+const QUEUED_TOKENS_UNIT: u32 = 64;
+
+/// Hundredths of answers in one unit of a sum.
+const ANSWER_PARTS_UNIT: u32 = 10;
+
+/// Milliseconds of answer times in one unit of a sum.
+const TIME_UNIT_MS: u32 = 16;
+
 /// Sums as a digest contains them.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RoomReport {
@@ -50,6 +59,15 @@
     }
 }
 
+/// Units of the values of a server's load, in the order of [`ServerLoad::values`]. Queued tokens and
+/// times are rounded, so that most values take a single byte.
+fn load_units() -> [u32; ServerLoad::VALUES] {
+    let mut units = [1; ServerLoad::VALUES];
+    units[2..2 + QUEUE_CLASSES].fill(QUEUED_TOKENS_UNIT);
+    units[2 + QUEUE_CLASSES..].copy_from_slice(&[ANSWER_PARTS_UNIT, TIME_UNIT_MS, TIME_UNIT_MS]);
+    units
+}
+
 fn encode_sum(
     sum: &RoomSum,
     servers: &[ServerHash],
@@ -62,10 +80,15 @@
         // Both are in order.
         let load = loads.next_if(|(of, _)| *of == server);
         let load = load.map_or_else(ServerLoad::default, |(_, load)| *load);
-        for (column, value) in columns.iter_mut().zip(load.values()) {
-            column.push(value);
+        let values = load.values().into_iter().zip(load_units());
+        for (column, (value, unit)) in columns.iter_mut().zip(values) {
+            column.push(value.saturating_add(unit / 2) / unit);
         }
     }
+    for column in &mut columns {
+        let used = column.iter().rposition(|value| *value > 0);
+        column.truncate(used.map_or(0, |last| last + 1));
+    }
     let demands = accounts.iter().map(|account| sum.demands.get(*account));
     let demands = demands.map(|demand| demand.copied().unwrap_or_default());
     let work = services.iter().map(|service| sum.work.get(*service));
@@ -104,11 +127,15 @@
 ) -> RoomSum {
     let millis = |ms: u32| Duration::from_millis(u64::from(ms));
     let mut loads = BTreeMap::new();
+    let units = load_units();
     for (index, server) in servers.iter().enumerate() {
-        let load = ServerLoad::from_values(std::array::from_fn(|column| {
-            let column = wire.loads.get(column);
+        let load = ServerLoad::from_values(std::array::from_fn(|column_index| {
+            let column = wire.loads.get(column_index);
             let value = column.and_then(|column| column.values.get(index));
-            value.copied().unwrap_or_default()
+            value
+                .copied()
+                .unwrap_or_default()
+                .saturating_mul(units[column_index])
         }));
         if load != ServerLoad::default() {
             loads.insert(*server, load);
