--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -506,6 +506,7 @@
             service: &self.service,
             suspect: false,
             tried: &self.tried,
+            versions: &VersionRule::Any,
         };
         let placed = self.serving.fleet.borrow_mut().place(now, query);
         let placed = match placed {
@@ -698,6 +699,7 @@
             service: &self.service,
             suspect: false,
             tried: &self.tried,
+            versions: &VersionRule::Any,
         };
         let can_place = {
             let fleet = self.serving.fleet.borrow();
@@ -766,6 +768,7 @@
             service: &self.service,
             suspect: false,
             tried: &[],
+            versions: &VersionRule::Any,
         };
         let wait = self.serving.fleet.borrow().pause_wait(boot_time(), &query);
         let subject = Subject::Service(self.service.clone());
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -87,6 +87,8 @@
     pub slots: u32,
     /// True if its machine is reclaimable.
     pub spot: bool,
+    /// Version of the service that it runs; empty if its record names none.
+    pub version: SmolStr,
 }
 
 /// A registered server with this instance's estimates of its health, load and cache. They are reset
@@ -254,6 +256,8 @@
     pub suspect: bool,
     /// Servers that earlier attempts of the call were sent to; they are not chosen again.
     pub tried: &'a [ServerName],
+    /// Only servers that this rule allows are chosen.
+    pub versions: &'a VersionRule,
 }
 
 /// Server chosen for an attempt, with the estimates made at that time.
@@ -665,7 +669,8 @@
                 preferred_score = score;
                 affinity.preferred = Some(record.id.clone());
             }
-            let is_warmed_up = now.saturating_sub(server.seen_at) >= WARM_UP_TIME;
+            let is_warmed_up = now.saturating_sub(server.seen_at) >= WARM_UP_TIME
+                && query.versions.allows_warm(record);
             if score >= warm_score && is_warmed_up && self.is_healthy(server, now) {
                 warm_score = score;
                 affinity.warm = Some(record.id.clone());
@@ -736,12 +741,13 @@
             && (!healthy_only || self.is_healthy(server, now))
     }
 
-    /// Returns true if a server runs the service of the call, is not leaving, was not tried before,
-    /// and, if the call is a suspect, runs no other suspect of this instance.
+    /// Returns true if a server runs the service of the call in an allowed version, is not leaving,
+    /// was not tried before, and, if the call is a suspect, runs no other suspect of this instance.
     pub(crate) fn could_run(&self, server: &FleetServer, query: &PlacementQuery<'_>) -> bool {
         let accepts_work = !server.is_leaving() || is_disabled(Safeguard::Leaving);
         server.record.service == *query.service
             && accepts_work
+            && query.versions.allows(&server.record)
             && !query.tried.contains(&server.record.id)
             && !(query.suspect && server.suspects_here > 0)
     }
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -38,6 +38,9 @@
     pub retry_part: f64,
     /// Length of the time window to which `retry_part` applies.
     pub retry_window: Duration,
+    /// Limits on rollouts of servers' versions; `None` if there are no rollouts, so that versions have
+    /// no effect.
+    pub rollout: Option<RolloutSettings>,
     /// Time after the end of a usage window during which a report of its calls is still accepted.
     pub usage_late: Duration,
     /// Length of a usage window, a period whose calls are reported together.
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -18,7 +18,9 @@
 use ebonyspread::prefill_rate::PrefillEstimate;
 use ebonyspread::prompt::Prompt;
 use ebonyspread::prompt::PromptPart;
+use ebonyspread::rollout_versions::VersionRule;
 use ebonyspread::server_notice::PAUSE_MAX;
+use smol_str::SmolStr;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -32,6 +34,7 @@
         service: "models".into(),
         slots: 96,
         spot: false,
+        version: SmolStr::default(),
     }
 }
 
@@ -63,6 +66,7 @@
         service: &service,
         suspect: false,
         tried,
+        versions: &VersionRule::Any,
     };
     fleet.place(now, query).unwrap()
 }
--- a/tests/decisions/server_limit.rs
+++ b/tests/decisions/server_limit.rs
@@ -9,9 +9,11 @@
 use ebonyspread::fleet::PlacementQuery;
 use ebonyspread::fleet::ServerRecord;
 use ebonyspread::fleet_limits::LIMITS_PER_DIGEST_MAX;
+use ebonyspread::rollout_versions::VersionRule;
 use ebonyspread::server_limit::LIMIT_TTL;
 use ebonyspread::server_limit::LimitReport;
 use prost::Message;
+use smol_str::SmolStr;
 
 const NOW: Duration = Duration::from_secs(100);
 const SECOND: Duration = Duration::from_secs(1);
@@ -42,6 +44,7 @@
         service: "desk".into(),
         slots: 6,
         spot: false,
+        version: SmolStr::default(),
     }
 }
 
@@ -72,6 +75,7 @@
         service: &service,
         suspect: false,
         tried: &[],
+        versions: &VersionRule::Any,
     };
     fleet.place(now, query).map(|placed| placed.server)
 }
