Define orders, counts, share and steps of a rollout

Change: modules rollout_order, rollout_tally, rollout_verdict, rollout_share and rollout_plan, without I/O. The order's checks, the counts, the share and the steps are written; the verdict is a placeholder that never says Bad. None of them has tests yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -284,6 +284,10 @@
 use crate::reply::refuse;
 use crate::reply::respond;
 use crate::retry_denied::RetryDenied;
+use crate::rollout_order::RolloutOrder;
+use crate::rollout_share::RolloutSide;
+use crate::rollout_tally::RolloutTally;
+use crate::rollout_verdict::RolloutVerdict;
 use crate::router::Failure;
 use crate::router::LeavingSource;
 use crate::router::LoadReport;
@@ -465,6 +469,11 @@
 pub mod relay;
 pub mod reply;
 pub mod retry_denied;
+pub mod rollout_order;
+pub mod rollout_plan;
+pub mod rollout_share;
+pub mod rollout_tally;
+pub mod rollout_verdict;
 pub mod router;
 pub mod router_actor;
 pub mod sabotage;
@@ -513,6 +522,8 @@
 pub type RequestId = SmolStr;
 /// Name of a backend server: its name in the table, or the id under which it registered itself.
 pub type ServerName = SmolStr;
+/// Version of a service's servers, as their records in the log name it.
+pub type ServerVersion = SmolStr;
 /// Name of a service: a group of backend servers that handle the same calls.
 pub type ServiceName = SmolStr;
 /// Version of the table: the log offset of the edit that produced it plus one; 0 before the first
