Carry out rollouts of a service's version

Operators order that the traffic of a service moves to another version. Orders were ignored so far, and all versions got calls alike.

rollout_record holds the newest step of each service, rollout_state what an instance knows and to which side it sends a call by it, rollout_report what instances tell each other in their digests, and rollout_duty the holder's loop: orders, steps by conditional appends, and statuses. Attempts are bound to a side before a server is chosen, and counted until they end. Without the setting nothing changes.

--- a/src/error.rs
+++ b/src/error.rs
@@ -256,6 +256,19 @@
         /// Time in milliseconds until a retry can succeed.
         retry_after_ms: u64,
     },
+    /// This instance cannot tell to which version of the service's servers it may send calls.
+    #[snafu(display(
+        "the rollout of {subject} was last read {age_ms} ms ago; retry after {retry_after_ms} ms or \
+         at another instance"
+    ))]
+    RolloutStale {
+        /// Time in milliseconds since the records of rollouts were last known to be the newest.
+        age_ms: u64,
+        /// Time in milliseconds until a retry can succeed.
+        retry_after_ms: u64,
+        /// Service that the request was addressed to.
+        subject: Subject,
+    },
     /// The servers have named limits that leave this instance no call at present.
     #[snafu(display(
         "the servers of {subject} limit their calls; retry after {retry_after_ms} ms"
@@ -399,6 +412,7 @@
             Self::ResponseTimeout { .. } => (504, "answer_timeout"),
             Self::ResumeMismatch => (409, "resume_mismatch"),
             Self::RetryBudgetSpent { .. } => (503, "retry_budget_spent"),
+            Self::RolloutStale { .. } => (503, "rollout_stale"),
             Self::ServerLimits { .. } => (503, "server_limits"),
             Self::ServersPaused { .. } => (503, "servers_paused"),
             Self::Stopping { .. } => (503, "instance_stopping"),
@@ -428,6 +442,7 @@
             | Self::NoBackendServer { retry_after_ms, .. }
             | Self::Overloaded { retry_after_ms, .. }
             | Self::RetryBudgetSpent { retry_after_ms, .. }
+            | Self::RolloutStale { retry_after_ms, .. }
             | Self::ServerLimits { retry_after_ms, .. }
             | Self::ServersPaused { retry_after_ms, .. }
             | Self::Stopping { retry_after_ms } => Some(Duration::from_millis(*retry_after_ms)),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -129,11 +129,25 @@
 pub(crate) struct Attempt {
     pub(crate) outcome: AttemptOutcome,
     pub(crate) placed: PlacedAttempt,
+    /// What its answer says about the version of the server; `None` if there are no rollouts.
+    rollout: Option<RolloutAttempt>,
     serving: Rc<ServingState>,
 }
 
+impl Attempt {
+    /// Records that the answer stalled or did not come in time.
+    pub(crate) fn mark_failed(&mut self) {
+        if let Some(rollout) = &mut self.rollout {
+            rollout.mark_failed();
+        }
+    }
+}
+
 impl Drop for Attempt {
     fn drop(&mut self) {
+        if let Some(rollout) = self.rollout.take() {
+            rollout.end(&self.serving, self.outcome);
+        }
         let mut fleet = self.serving.fleet.borrow_mut();
         fleet.end_attempt(boot_time(), &self.placed.server, false, self.outcome);
     }
@@ -274,9 +288,13 @@
             return Err(self.timeout_error());
         }
         let placed = self.place()?;
+        let is_first = self.tried.is_empty();
+        let (serving, service) = (&self.serving, &self.service);
+        let rollout = RolloutAttempt::begin(serving, service, &self.route, &placed, is_first);
         let mut attempt = Attempt {
             outcome: AttemptOutcome::Abandoned,
             placed,
+            rollout,
             serving: self.serving.clone(),
         };
         self.answer = AnswerProgress::None;
@@ -288,10 +306,14 @@
             SendResult::Answered(response) => *response,
             SendResult::Failed(error) => return Ok(self.on_send_error(&mut attempt, error)),
             SendResult::GivenUp(reason) => {
+                if reason != CUT_OFF_REASON {
+                    attempt.mark_failed();
+                }
                 self.sends += 1;
                 return Ok(AttemptResult::Moved(reason));
             }
             SendResult::TimedOut => {
+                attempt.mark_failed();
                 self.sends += 1;
                 self.may_have_run = true;
                 return Ok(AttemptResult::TimedOut);
@@ -302,6 +324,11 @@
         self.record_response_time(&attempt, sent_at.elapsed());
         self.record_limit(&attempt, &response.head, sent_at.elapsed());
         self.record_notice(&attempt, &response.head);
+        if let Some(rollout) = &mut attempt.rollout {
+            let (dialect, head) = (&self.serving.dialect, &response.head);
+            let has_notice = dialect.is_leaving(head) || dialect.pause(head).is_some();
+            rollout.record_head(sent_at.elapsed(), head.status, has_notice);
+        }
         self.handle_response(attempt, response).await
     }
 
@@ -495,18 +522,48 @@
         })
     }
 
+    /// Returns the rule for the versions of the servers of the next attempt. The first attempt may be
+    /// charged to the share of a new version; the others keep to the rule in force. Fails while no
+    /// version may be used.
+    fn choose_versions(&self, now: Duration) -> Result<VersionRule> {
+        let Some(rollouts) = &self.serving.rollouts else {
+            return Ok(VersionRule::Any);
+        };
+        let fleet = self.serving.fleet.borrow();
+        let unix = self.serving.unix_now();
+        let (service, route) = (&self.service, &self.route.name);
+        let is_first = self.tried.is_empty();
+        let mut rollouts = rollouts.borrow_mut();
+        let chosen = rollouts.choose_side(now, unix, &fleet, service, route, is_first)?;
+        let query = PlacementQuery {
+            prompt: self.call.prompt.as_ref(),
+            service,
+            suspect: false,
+            tried: &self.tried,
+            versions: &chosen.versions,
+        };
+        match chosen.is_canary && !fleet.has_healthy_server(now, &query) {
+            true => Ok(rollouts.give_back(&fleet, service, route)),
+            false => Ok(chosen.versions),
+        }
+    }
+
     fn place(&mut self) -> Result<PlacedAttempt> {
         let now = boot_time();
         match self.check_quarantine(now) {
             Err(error) if self.may_have_run => return Err(self.lost_error(error.to_string())),
             checked => checked?,
         }
+        let versions = match self.choose_versions(now) {
+            Err(error) if self.may_have_run => return Err(self.lost_error(error.to_string())),
+            chosen => chosen?,
+        };
         let query = PlacementQuery {
             prompt: self.call.prompt.as_ref(),
             service: &self.service,
             suspect: false,
             tried: &self.tried,
-            versions: &VersionRule::Any,
+            versions: &versions,
         };
         let placed = self.serving.fleet.borrow_mut().place(now, query);
         let placed = match placed {
@@ -640,7 +697,10 @@
                 attempt.outcome = AttemptOutcome::Broken;
                 Ok(AttemptResult::Lost(error.reason))
             }
-            Err(_) => Ok(AttemptResult::TimedOut),
+            Err(_) => {
+                attempt.mark_failed();
+                Ok(AttemptResult::TimedOut)
+            }
         }
     }
 
@@ -694,12 +754,16 @@
     ///
     /// [`acquire_retry`]: Self::acquire_retry
     pub(crate) fn acquire_move(&self) -> bool {
+        let Ok(versions) = self.choose_versions(boot_time()) else {
+            self.log_denied_retry(RetryDenied::NoServer);
+            return false;
+        };
         let query = PlacementQuery {
             prompt: self.call.prompt.as_ref(),
             service: &self.service,
             suspect: false,
             tried: &self.tried,
-            versions: &VersionRule::Any,
+            versions: &versions,
         };
         let can_place = {
             let fleet = self.serving.fleet.borrow();
@@ -763,12 +827,13 @@
         if self.may_have_run {
             return self.lost_error("no further server accepted the call".to_owned());
         }
+        let versions = self.choose_versions(boot_time()).unwrap_or_default();
         let query = PlacementQuery {
             prompt: self.call.prompt.as_ref(),
             service: &self.service,
             suspect: false,
             tried: &[],
-            versions: &VersionRule::Any,
+            versions: &versions,
         };
         let wait = self.serving.fleet.borrow().pause_wait(boot_time(), &query);
         let subject = Subject::Service(self.service.clone());
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -88,7 +88,7 @@
     /// True if its machine is reclaimable.
     pub spot: bool,
     /// Version of the service that it runs; empty if its record names none.
-    pub version: SmolStr,
+    pub version: ServerVersion,
 }
 
 /// A registered server with this instance's estimates of its health, load and cache. They are reset
@@ -373,6 +373,25 @@
         self.servers.values()
     }
 
+    /// Iterates over the records of a service's servers that a rule allows and that are not leaving.
+    pub fn ready_servers<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        versions: &'a VersionRule,
+    ) -> impl Iterator<Item = &'a ServerRecord> {
+        let servers = self.servers.values().filter(|server| !server.is_leaving());
+        let records = servers.map(|server| &server.record);
+        records.filter(move |record| record.service == *service && versions.allows(record))
+    }
+
+    /// Returns the version of a server; empty if it is not registered.
+    pub fn version_of(&self, id: &str) -> ServerVersion {
+        let server = self.servers.get(id);
+        server.map_or(ServerVersion::default(), |server| {
+            server.record.version.clone()
+        })
+    }
+
     /// Records that a data centre accepted a connection, or sent a peer's datagram or a part of an
     /// answer. Returns true if it was unreachable before.
     pub fn mark_centre_reachable(&mut self, now: Duration, centre: &DataCentreName) -> bool {
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -91,6 +91,14 @@
     if *peer == serving.settings.instance {
         return;
     }
+    if let Some(rollouts) = &serving.rollouts {
+        // Also of an instance that has removed its address: its calls may still run.
+        let reports = digest.rollout_reports.into_iter();
+        let reports = reports.map(|report| report.received(digest.sent, now));
+        let mut rollouts = rollouts.borrow_mut();
+        rollouts.merge_reports(reports.collect());
+        rollouts.record_knowledge(address, digest.rollout_knowledge);
+    }
     let mut peers = serving.peers.borrow_mut();
     if digest.leaving && !peers.is_known(peer) {
         // It has removed its address from the log, and is not to be added again by what it still
@@ -154,9 +162,11 @@
         if collectors.is_empty() {
             digest.usage = usage.clone();
         }
+        digest.rollout_reports = rollout_reports(&serving, now, round, false);
         send_to(&socket, &mut digest, targets);
         digest.usage = usage;
         if serving.collects_usage(now) {
+            digest.rollout_reports = rollout_reports(&serving, now, round, true);
             digest.centre_usage = serving.usage.borrow().centre_sums();
         }
         send_to(&socket, &mut digest, collectors);
@@ -177,6 +187,27 @@
     }
 }
 
+/// Returns the reports on rollouts for the digests of a round; `with_centre` adds those of the
+/// instances of this data centre.
+fn rollout_reports(
+    serving: &ServingState,
+    now: Duration,
+    round: u64,
+    with_centre: bool,
+) -> Vec<RolloutReport> {
+    let Some(rollouts) = &serving.rollouts else {
+        return Vec::new();
+    };
+    let mut others = HashSet::new();
+    if with_centre {
+        let peers = serving.peers.borrow();
+        let centre = &serving.settings.data_centre;
+        let of_centre = peers.iter().filter(|(_, peer)| peer.data_centre == *centre);
+        others.extend(of_centre.map(|(name, _)| name.clone()));
+    }
+    rollouts.borrow().reports_to_send(now, round, &others)
+}
+
 fn send_to(socket: &UdpSocket, digest: &mut PeerDigest, targets: Vec<DigestTarget>) {
     for (address, echoed) in targets {
         digest.echoed = echoed;
@@ -190,6 +221,7 @@
 /// receiver, for each peer.
 fn local_digest(serving: &ServingState, now: Duration, round: u64) -> PeerDigest {
     let crash_reports = serving.crash_reports_to_send(now, round);
+    let rollouts = &serving.rollouts;
     let policy = serving.policy.borrow();
     let mut fleet = serving.fleet.borrow_mut();
     let limits = fleet.limits_to_send(now, round);
@@ -216,6 +248,10 @@
         loads,
         policy_age: policy.age(now),
         policy_version: policy.newest_version(),
+        rollout_knowledge: rollouts.as_ref().map_or(Vec::new(), |rollouts| {
+            rollouts.borrow().knowledge_to_send(now, round)
+        }),
+        rollout_reports: Vec::new(),
         sent: now,
         unix_ms: serving.wall_clock.borrow().local_unix_ms(now),
         usage: serving.usage.borrow().recent_own_counts(),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -26,6 +26,9 @@
     registry: prometheus::Registry,
     retries: Counter<u64>,
     retries_denied: Counter<u64>,
+    rollout_attempts: Counter<u64>,
+    rollout_steps: Counter<u64>,
+    rollout_verdicts: Counter<u64>,
     tokens: Counter<u64>,
     tokens_recomputed: Counter<u64>,
     unreadable_records: Counter<u64>,
@@ -70,6 +73,9 @@
             platform_calls: meter.u64_counter("platform_calls").build(),
             retries: meter.u64_counter("retries").build(),
             retries_denied: meter.u64_counter("retries_denied").build(),
+            rollout_attempts: meter.u64_counter("rollout_attempts").build(),
+            rollout_steps: meter.u64_counter("rollout_steps").build(),
+            rollout_verdicts: meter.u64_counter("rollout_verdicts").build(),
             tokens: meter.u64_counter("tokens").build(),
             tokens_recomputed: meter.u64_counter("tokens_recomputed").build(),
             unreadable_records: meter.u64_counter("unreadable_records").build(),
@@ -168,6 +174,24 @@
             .add(1, &[KeyValue::new("limit", denied.limit())]);
     }
 
+    /// Counts an attempt that was placed while a rollout of its service runs, by the step and by the
+    /// side of the server, `new` or `old`.
+    pub fn rollout_attempt(&self, step: &'static str, side: &'static str) {
+        let labels = [KeyValue::new("step", step), KeyValue::new("side", side)];
+        self.rollout_attempts.add(1, &labels);
+    }
+
+    /// Counts a step of a rollout that this instance has written, or an order that it has refused.
+    pub fn rollout_step(&self, step: &'static str) {
+        self.rollout_steps.add(1, &[KeyValue::new("step", step)]);
+    }
+
+    /// Counts a verdict of this instance on a new version.
+    pub fn rollout_verdict(&self, verdict: &'static str) {
+        self.rollout_verdicts
+            .add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
     /// Counts tokens that servers generated for callers.
     pub fn tokens(&self, count: u32) {
         self.tokens.add(u64::from(count), &[]);
--- a/src/pass_through.rs
+++ b/src/pass_through.rs
@@ -85,10 +85,13 @@
                 self.attempt.outcome = AttemptOutcome::Broken;
                 error.reason
             }
-            Err(_) => format!(
-                "body did not end in time, after {} bytes",
-                self.forwarded_bytes
-            ),
+            Err(_) => {
+                self.attempt.mark_failed();
+                format!(
+                    "body did not end in time, after {} bytes",
+                    self.forwarded_bytes
+                )
+            }
         };
         tokio::time::sleep(FLUSH_TIME).await;
         Some(self.finish_broken(reason))
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -43,6 +43,10 @@
     pub policy_age: Option<Duration>,
     /// Version of the policy that the sender applies; 0 if it has none.
     pub policy_version: PolicyVersion,
+    /// Numbers of the newest rollout records that the sender knows, by service.
+    pub rollout_knowledge: Vec<(ServiceName, u64)>,
+    /// Reports on rollouts that run, with times by the sender's clock, as in `sent`.
+    pub rollout_reports: Vec<RolloutReport>,
     /// Send time by the sender's [`boot_time`], which also advances while the machine is suspended.
     pub sent: Duration,
     /// Sender's estimate of the time since 1970 in milliseconds, without corrections by its peers.
@@ -117,6 +121,19 @@
             loads: loads.collect(),
             policy_age_ms: digest.policy_age.map(|age| age.as_millis() as u64),
             policy_version: digest.policy_version,
+            rollout_knowledge: digest
+                .rollout_knowledge
+                .iter()
+                .map(|(service, number)| wire::RolloutKnowledge {
+                    number: *number,
+                    service: service.to_string(),
+                })
+                .collect(),
+            rollout_reports: digest
+                .rollout_reports
+                .iter()
+                .map(|report| report.to_wire(digest.sent))
+                .collect(),
             sent_ms: digest.sent.as_millis() as u64,
             unix_ms: digest.unix_ms,
             usage: usage.collect(),
@@ -167,6 +184,16 @@
             loads,
             policy_age: wire.policy_age_ms.map(millis),
             policy_version: wire.policy_version,
+            rollout_knowledge: wire
+                .rollout_knowledge
+                .into_iter()
+                .map(|known| (known.service.into(), known.number))
+                .collect(),
+            rollout_reports: wire
+                .rollout_reports
+                .into_iter()
+                .map(|report| RolloutReport::from_wire(sent, report))
+                .collect(),
             sent,
             unix_ms: wire.unix_ms,
             usage: wire.usage.into_iter().map(decode_usage).collect(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -184,6 +184,14 @@
             .find(|route| path.starts_with(route.path_prefix.as_str()))
     }
 
+    /// Returns the longest timeout of the routes with calls to a service; zero if there are none.
+    pub fn longest_timeout(&self, service: &ServiceName) -> Duration {
+        let routes = self.routes.values().flatten();
+        let of_service = routes.filter(|route| route.services.iter().any(|(s, _)| s == service));
+        let timeouts = of_service.map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Finds the account that holds a key; `None` if no account of this version holds it.
     pub fn account_by_key(&self, key: &str) -> Option<&AccountPolicy> {
         let index = self.accounts_by_key.get(key)?;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -149,6 +149,9 @@
                 }
                 Err(_) => {
                     self.set_interruption(Interruption::Deadline, None);
+                    if let Some(attempt) = &mut self.attempt {
+                        attempt.mark_failed();
+                    }
                     let error = self.exchange.timeout_error();
                     return Some(self.finish_broken(error).await);
                 }
--- a/src/rollout_versions.rs
+++ b/src/rollout_versions.rs
@@ -13,16 +13,16 @@
     #[default]
     Any,
     /// Servers of all versions but these.
-    Except(SmallVec<[SmolStr; 2]>),
+    Except(SmallVec<[ServerVersion; 2]>),
     /// These servers, if they still run the version.
     Listed {
         /// Names of the servers.
         servers: Arc<[ServerName]>,
         /// Version that they ran when they were chosen.
-        version: SmolStr,
+        version: ServerVersion,
     },
     /// Servers of one version.
-    Only(SmolStr),
+    Only(ServerVersion),
 }
 
 impl VersionRule {
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -136,6 +136,8 @@
     pub refuses_calls: Cell<bool>,
     /// Retries that may still be made; accepted calls add to them.
     pub retry_budget: RefCell<RetryBudget>,
+    /// Rollouts of servers' versions; `None` if the settings allow none.
+    pub rollouts: Option<RefCell<RolloutState>>,
     /// Settings at startup; a reload does not change them.
     pub settings: ServingSettings,
     /// Distributes calls over the services of a route by their weights.
@@ -157,6 +159,10 @@
         // A clock that is wrong at startup is corrected by the clocks of the peers.
         let unix = Duration::from_millis(unix_ms());
         let usage = UsageCounter::new(boot_time(), settings.data_centre.clone());
+        let life = unix.as_millis() as u64;
+        let rollouts = settings.rollout.map(|rollout| {
+            RefCell::new(RolloutState::new(rollout, settings.instance.clone(), life))
+        });
         let unknown_until = match settings.first_start {
             true => Duration::ZERO,
             false => boot_time() + settings.limit_window,
@@ -177,7 +183,7 @@
             fleet: RefCell::new(Fleet::new(settings.data_centre.clone())),
             holds_duties: Cell::new(false),
             in_flight: Cell::new(0),
-            life: unix.as_millis() as u64,
+            life,
             limits: RefCell::new(UsageLimits::new(settings.limit_window, unknown_until, seed)),
             metrics,
             peer_read_at: Cell::default(),
@@ -188,6 +194,7 @@
             policy_age_max: Cell::new(settings.policy_age_max),
             refuses_calls: Cell::new(false),
             retry_budget: RefCell::default(),
+            rollouts,
             settings,
             splitter: RefCell::new(WeightedSplitter::new(seed)),
             started_at: boot_time(),
@@ -366,7 +373,9 @@
     /// Returns true if the instance may receive calls: its policy was proven to be the newest
     /// recently enough, and it is not stopping.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.fresh_policy(boot_time()).is_ok()
+        let rollouts = self.rollouts.as_ref();
+        let knows_rollouts = rollouts.is_none_or(|rollouts| rollouts.borrow().is_read());
+        !self.draining.get() && knows_rollouts && self.fresh_policy(boot_time()).is_ok()
     }
 
     /// Applies the settings that can change at runtime, which are the maximum age of the policy and
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -88,6 +88,8 @@
     pub policy_topic: &'static str,
     /// Reads the settings again on SIGHUP; after an error the current ones stay.
     pub reload: fn() -> Result<ServingSettings>,
+    /// Formats of the orders and statuses of rollouts.
+    pub rollout: RolloutParts,
     /// Name of the topic in which backend servers register themselves.
     pub server_topic: &'static str,
     /// Address of the listener for readiness and metrics.
@@ -136,7 +138,21 @@
         topic: parts.server_topic,
         wait: reader_wait(serving.settings.edit_time, SERVERS_READ_INTERVAL).min(SERVERS_READ_WAIT),
     };
-    follow_policies(&serving, policies, parts.decode_policy, &shutdown);
+    let decode_order = parts.rollout.decode_order;
+    follow_policies(
+        &serving,
+        policies,
+        parts.decode_policy,
+        decode_order,
+        &shutdown,
+    );
+    let rollouts = RolloutDuty::new(
+        serving.clone(),
+        direct_log.clone(),
+        shared_log.clone(),
+        parts.rollout,
+    );
+    actix_rt::spawn(rollouts.run(shutdown.clone()));
     actix_rt::spawn(adopt_policies(
         serving.clone(),
         shared_log,
@@ -278,6 +294,7 @@
     serving: &Rc<ServingState>,
     follower: TopicFollower,
     decode: fn(&KeyedRecord) -> PolicyRecord,
+    decode_order: fn(&KeyedRecord) -> Option<OrderRecord>,
     shutdown: &CancellationToken,
 ) {
     let serving = serving.clone();
@@ -289,7 +306,10 @@
         }
         TopicEvent::Change(record) => {
             let is_older = match decode(&record) {
-                PolicyRecord::Other => false,
+                PolicyRecord::Other => {
+                    add_order(&serving, decode_order(&record));
+                    false
+                }
                 PolicyRecord::Policy(policy) => apply_policy(&serving, policy, record.offset),
                 PolicyRecord::Removed => {
                     serving.policy.borrow_mut().record_removed();
@@ -370,6 +390,19 @@
     version < state.version_in_force()
 }
 
+/// Adds an order to roll out a version, if the settings allow rollouts.
+fn add_order(serving: &ServingState, order: Option<OrderRecord>) {
+    let (Some(rollouts), Some(order)) = (&serving.rollouts, order) else {
+        return;
+    };
+    let text = format!(
+        "rollout service={} order={} target={}",
+        order.service, order.offset, order.target
+    );
+    let is_new = rollouts.borrow_mut().add_order(boot_time(), order);
+    info!("{text} is_new={is_new}");
+}
+
 /// Records a policy that the log holds and that cannot be decoded. Returns true if it is known to be
 /// older than the one in force.
 fn mark_unreadable(
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -632,6 +632,13 @@
     /// True while the sender holds the duties.
     #[prost(bool, tag = "18")]
     pub holds_duties: bool,
+    /// Reports on rollouts that run: the sender's own, and those of its data centre's instances if it
+    /// collects them.
+    #[prost(message, repeated, tag = "20")]
+    pub rollout_reports: ::prost::alloc::vec::Vec<RolloutReport>,
+    /// Newest rollout record of each service that the sender knows.
+    #[prost(message, repeated, tag = "21")]
+    pub rollout_knowledge: ::prost::alloc::vec::Vec<RolloutKnowledge>,
 }
 /// Process of a backend server that is leaving.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -767,6 +774,105 @@
     #[prost(uint64, tag = "1")]
     pub duration_ms: u64,
 }
+/// Number of the newest rollout record of a service that the sender knows.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutKnowledge {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+}
+/// What one process of an instance reports of a rollout that runs.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutReport {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub life: u64,
+    /// Time since the process made the report.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    #[prost(string, tag = "4")]
+    pub service: ::prost::alloc::string::String,
+    /// Offset of the order's record.
+    #[prost(uint64, tag = "5")]
+    pub order: u64,
+    /// Number of the newest step that the process knew.
+    #[prost(uint64, tag = "6")]
+    pub step_number: u64,
+    /// Calls of the process that run at servers of other versions than the target.
+    #[prost(uint32, tag = "7")]
+    pub old_running: u32,
+    #[prost(message, repeated, tag = "8")]
+    pub routes: ::prost::alloc::vec::Vec<RolloutRouteCounts>,
+}
+/// Answers on one route since the order.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutRouteCounts {
+    #[prost(string, tag = "1")]
+    pub route: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub new_side: ::core::option::Option<RolloutSideCounts>,
+    #[prost(message, optional, tag = "3")]
+    pub old_side: ::core::option::Option<RolloutSideCounts>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutSideCounts {
+    #[prost(uint32, tag = "1")]
+    pub answers: u32,
+    #[prost(uint32, tag = "2")]
+    pub failures: u32,
+    #[prost(uint32, tag = "3")]
+    pub slow: u32,
+    /// Answers that were not failures, by the class of their delay.
+    #[prost(uint32, repeated, tag = "4")]
+    pub delays: ::prost::alloc::vec::Vec<u32>,
+    /// Servers that answered, and those whose answers failed, one bit each.
+    #[prost(fixed64, tag = "5")]
+    pub servers: u64,
+    #[prost(fixed64, tag = "6")]
+    pub failing_servers: u64,
+}
+/// Newest step of the rollouts of a service, in the topic of rollouts.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutRecord {
+    /// Offset of the order's record; 0 if no order was accepted yet.
+    #[prost(uint64, tag = "1")]
+    pub order: u64,
+    /// Version to which the traffic moves; empty if no order was accepted yet.
+    #[prost(string, tag = "2")]
+    pub target: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub duration_ms: u64,
+    #[prost(uint64, tag = "4")]
+    pub started_unix_ms: u64,
+    /// Higher than the numbers of all earlier records of the service.
+    #[prost(uint64, tag = "5")]
+    pub number: u64,
+    #[prost(enumeration = "RolloutStepKind", tag = "6")]
+    pub step: i32,
+    /// Time from which an instance that cannot tell whether this record is the newest sends nothing to
+    /// servers of other versions than the target.
+    #[prost(uint64, tag = "7")]
+    pub not_before_unix_ms: u64,
+    /// Why the version was rolled back.
+    #[prost(string, tag = "8")]
+    pub reason: ::prost::alloc::string::String,
+    /// Version that was in force before the order, if a rollout had made it so.
+    #[prost(string, optional, tag = "9")]
+    pub base: ::core::option::Option<::prost::alloc::string::String>,
+    /// Versions that get no calls: those that were rolled back or refused since then.
+    #[prost(string, repeated, tag = "10")]
+    pub barred: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Offset of the newest order that was accepted or refused.
+    #[prost(uint64, tag = "11")]
+    pub handled: u64,
+    /// Target of the newest order, if it was refused, and why.
+    #[prost(string, tag = "12")]
+    pub refused_target: ::prost::alloc::string::String,
+    #[prost(string, tag = "13")]
+    pub refused_reason: ::prost::alloc::string::String,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum ClaimVerdict {
@@ -811,3 +917,38 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum RolloutStepKind {
+    Unknown = 0,
+    Observing = 1,
+    Draining = 2,
+    Completed = 3,
+    RolledBack = 4,
+}
+impl RolloutStepKind {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unknown => "ROLLOUT_STEP_KIND_UNKNOWN",
+            Self::Observing => "ROLLOUT_STEP_KIND_OBSERVING",
+            Self::Draining => "ROLLOUT_STEP_KIND_DRAINING",
+            Self::Completed => "ROLLOUT_STEP_KIND_COMPLETED",
+            Self::RolledBack => "ROLLOUT_STEP_KIND_ROLLED_BACK",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ROLLOUT_STEP_KIND_UNKNOWN" => Some(Self::Unknown),
+            "ROLLOUT_STEP_KIND_OBSERVING" => Some(Self::Observing),
+            "ROLLOUT_STEP_KIND_DRAINING" => Some(Self::Draining),
+            "ROLLOUT_STEP_KIND_COMPLETED" => Some(Self::Completed),
+            "ROLLOUT_STEP_KIND_ROLLED_BACK" => Some(Self::RolledBack),
+            _ => None,
+        }
+    }
+}
