--- a/src/rollout_tally.rs
+++ b/src/rollout_tally.rs
@@ -23,6 +23,9 @@
 /// begins at the square root of 2 times the one before, and the last one has no end.
 pub const DELAY_CLASSES: usize = 14;
 
+/// Number of groups of servers by which failures are counted. The canary servers are about as many.
+pub const SERVER_GROUPS: usize = 16;
+
 /// Shortest time between two marks.
 const MARK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -39,10 +42,8 @@
     pub delays: [u32; DELAY_CLASSES],
     /// Failures: server errors, and answers that were broken, stalled or untrusted.
     pub failures: u32,
-    /// Servers whose answers failed, one bit each by the hash of the name.
-    pub failing_servers: u64,
-    /// Servers that answered, one bit each by the hash of the name.
-    pub servers: u64,
+    /// Failures by server, in groups by the hash of the server's name.
+    pub failures_by_server: [u32; SERVER_GROUPS],
     /// Answers that were not failures and were slow.
     pub slow: u32,
 }
@@ -92,6 +93,7 @@
 /// Counts of all instances for one order, as far as this one knows them.
 #[derive(Debug)]
 pub struct RolloutTally {
+    is_draining: bool,
     /// Sums at earlier times, oldest first.
     marks: VecDeque<(Duration, CountsByRoute)>,
     order: LogOffset,
@@ -104,6 +106,7 @@
     /// Creates the tally of the order at an offset, without answers.
     pub fn new(order: LogOffset) -> Self {
         Self {
+            is_draining: false,
             marks: VecDeque::new(),
             order,
             own: CountsByRoute::new(),
@@ -176,7 +179,7 @@
     }
 
     /// Returns the answers of a route since each mark, newest mark first, and last those since the
-    /// order.
+    /// order; while the old servers drain, only those since that began.
     pub fn since_marks(&self, route: &str) -> impl Iterator<Item = RouteCounts> {
         let sums = self.sums.get(route).copied().unwrap_or_default();
         let marks = self.marks.iter().rev().map(move |(_, mark)| {
@@ -186,16 +189,38 @@
                 old: sums.old.since(&before.old),
             }
         });
-        marks.chain([sums])
+        marks.chain((!self.is_draining).then_some(sums))
+    }
+
+    /// Records that all new calls go to the new version from now on, so that the sides can no longer
+    /// be compared over the same time. Does nothing if that is known.
+    pub fn begin_draining(&mut self, now: Duration) {
+        if self.is_draining {
+            return;
+        }
+        self.is_draining = true;
+        self.marks.clear();
+        self.marks.push_back((now, self.sums.clone()));
+    }
+
+    /// Returns true if [`begin_draining`](Self::begin_draining) was called.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining
+    }
+}
+
+impl RouteCounts {
+    /// Adds the counts of another route or instance.
+    pub fn add(&mut self, other: &Self) {
+        self.new.add(&other.new);
+        self.old.add(&other.old);
     }
 }
 
 impl SideCounts {
     /// Counts one answer of a server.
     pub fn record(&mut self, server: &str, sample: AnswerSample) {
-        let bit = 1 << (xxh3_64(server.as_bytes()) % 64);
         self.answers += 1;
-        self.servers |= bit;
         match sample {
             AnswerSample::Answered {
                 expected,
@@ -208,7 +233,8 @@
             }
             AnswerSample::Failed => {
                 self.failures += 1;
-                self.failing_servers |= bit;
+                let group = xxh3_64(server.as_bytes()) as usize % SERVER_GROUPS;
+                self.failures_by_server[group] += 1;
             }
         }
     }
@@ -218,22 +244,23 @@
         self.answers = self.answers.saturating_add(other.answers);
         self.failures = self.failures.saturating_add(other.failures);
         self.slow = self.slow.saturating_add(other.slow);
-        self.failing_servers |= other.failing_servers;
-        self.servers |= other.servers;
-        for (delays, other) in self.delays.iter_mut().zip(other.delays) {
-            *delays = delays.saturating_add(other);
+        let delays = self.delays.iter_mut().zip(other.delays);
+        let failures = self.failures_by_server.iter_mut();
+        for (own, other) in delays.chain(failures.zip(other.failures_by_server)) {
+            *own = own.saturating_add(other);
         }
     }
 
-    /// Returns the answers since `before`, earlier counts of the same side. Which servers answered
-    /// is kept from the beginning.
+    /// Returns the answers since `before`, earlier counts of the same side.
     pub fn since(&self, before: &Self) -> Self {
         let mut counts = *self;
         counts.answers = counts.answers.saturating_sub(before.answers);
         counts.failures = counts.failures.saturating_sub(before.failures);
         counts.slow = counts.slow.saturating_sub(before.slow);
-        for (delays, before) in counts.delays.iter_mut().zip(before.delays) {
-            *delays = delays.saturating_sub(before);
+        let delays = counts.delays.iter_mut().zip(before.delays);
+        let failures = counts.failures_by_server.iter_mut();
+        for (own, before) in delays.chain(failures.zip(before.failures_by_server)) {
+            *own = own.saturating_sub(before);
         }
         counts
     }
