Report failures by group of servers

The tally counts failures by group of servers now, and compares the sides only until draining begins. The reports carry the new counts, and the tally is told when the step is Draining.

cargo check of the library and the platform passes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -318,6 +318,7 @@
 use crate::rollout_tally::DELAY_CLASSES;
 use crate::rollout_tally::RolloutTally;
 use crate::rollout_tally::RouteCounts;
+use crate::rollout_tally::SERVER_GROUPS;
 use crate::rollout_tally::SideCounts;
 use crate::rollout_tally::TallyReport;
 use crate::rollout_verdict::RolloutVerdict;
--- a/src/rollout_report.rs
+++ b/src/rollout_report.rs
@@ -90,9 +90,8 @@
         Self {
             answers: counts.answers,
             delays: counts.delays.to_vec(),
-            failing_servers: counts.failing_servers,
             failures: counts.failures,
-            servers: counts.servers,
+            failures_by_server: counts.failures_by_server.to_vec(),
             slow: counts.slow,
         }
     }
@@ -104,12 +103,15 @@
         for (delay, count) in delays.iter_mut().zip(wire.delays) {
             *delay = count;
         }
+        let mut failures_by_server = [0; SERVER_GROUPS];
+        for (failures, count) in failures_by_server.iter_mut().zip(wire.failures_by_server) {
+            *failures = count;
+        }
         Self {
             answers: wire.answers,
             delays,
-            failing_servers: wire.failing_servers,
             failures: wire.failures,
-            servers: wire.servers,
+            failures_by_server,
             slow: wire.slow,
         }
     }
--- a/src/rollout_state.rs
+++ b/src/rollout_state.rs
@@ -205,6 +205,11 @@
             known.reports.clear();
             known.verdict = None;
         }
+        if record.step.step == RolloutStep::Draining
+            && let Some(tally) = &mut known.tally
+        {
+            tally.begin_draining(now);
+        }
         known.changed_at = now;
         known.canaries = None;
         known.orders.retain(|(_, order)| !record.has_handled(order));
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -827,11 +827,9 @@
     /// Answers that were not failures, by the class of their delay.
     #[prost(uint32, repeated, tag = "4")]
     pub delays: ::prost::alloc::vec::Vec<u32>,
-    /// Servers that answered, and those whose answers failed, one bit each.
-    #[prost(fixed64, tag = "5")]
-    pub servers: u64,
-    #[prost(fixed64, tag = "6")]
-    pub failing_servers: u64,
+    /// Failures by group of servers.
+    #[prost(uint32, repeated, tag = "5")]
+    pub failures_by_server: ::prost::alloc::vec::Vec<u32>,
 }
 /// Newest step of the rollouts of a service, in the topic of rollouts.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
