Keep a refused order from barring the version in force

An order for the version that all servers already run was refused and then barred that version, so that the service got no calls; and an order that was refused while a rollout ran was reported as the status after its end. The target of a refused order is barred only beside servers of another version, and the end of a rollout drops the refusal.

--- a/src/rollout_duty.rs
+++ b/src/rollout_duty.rs
@@ -305,10 +305,10 @@
                         reason: refusal.to_string().into(),
                         target: target.clone(),
                     };
-                    Some(record.with_handled(&order, Some(refused)))
+                    Some(record.with_handled(&order, Some(refused), &versions))
                 }
                 (OrderDecision::Duplicate | OrderDecision::Start, _) => {
-                    Some(record.with_handled(&order, None))
+                    Some(record.with_handled(&order, None, &versions))
                 }
             };
             let Some(next) = next else {
--- a/src/rollout_record.rs
+++ b/src/rollout_record.rs
@@ -131,17 +131,25 @@
     }
 
     /// Returns the record after an order that changes nothing: one that is refused, or one of the
-    /// rollout that runs (`None`).
-    pub fn with_handled(&self, order: &OrderRecord, refused: Option<RefusedOrder>) -> Self {
+    /// rollout that runs (`None`). `versions` are those of the servers that may get calls. The target
+    /// of a refused order gets none, unless it is in force.
+    pub fn with_handled(
+        &self,
+        order: &OrderRecord,
+        refused: Option<RefusedOrder>,
+        versions: &[ServerVersion],
+    ) -> Self {
         let mut record = self.clone();
         record.handled = order.offset;
         record.step.number += 1;
         if let Some(refused) = refused {
-            let in_force = match self.step.step {
+            let in_use = match self.step.step {
                 RolloutStep::RolledBack => self.base.as_ref(),
                 _ => Some(&self.target),
             };
-            if in_force != Some(&refused.target) && self.base.as_ref() != Some(&refused.target) {
+            let is_in_use = [in_use, self.base.as_ref()].contains(&Some(&refused.target));
+            // If all servers have the version, it was in force before the order.
+            if !is_in_use && versions.iter().any(|version| *version != refused.target) {
                 record.bar(&refused.target);
             }
             record.refused = Some(refused);
@@ -149,9 +157,11 @@
         record
     }
 
-    /// Returns the record of the next step of the same order.
+    /// Returns the record of the next step of the same order. An order that was refused while the
+    /// rollout ran is no longer told of after its end.
     pub fn with_step(&self, step: NumberedStep) -> Self {
         Self {
+            refused: None,
             step,
             ..self.clone()
         }
