Bound reports on rollouts and hold back orders for servers meanwhile

Collectors forwarded up to 32 reports with counts to all collectors in every round, about 20 KB each, which is too much for links of 10 Mbit/s. They now go to the holder alone, without counts but for 8 instances in turn: under 16 KB for 137 instances. Counts are dropped at the end of a rollout. No servers are ordered for a service while both versions run, since their number is above the need and an order would stop some.

--- a/src/duties.rs
+++ b/src/duties.rs
@@ -388,6 +388,9 @@
                 continue;
             };
             let now = boot_time();
+            if self.serving.defers_capacity(now, &service.name) {
+                continue;
+            }
             let view = self.serving.fleet.borrow().capacity_view(now, service);
             let (orders, need) = {
                 let state = &mut self.state.borrow_mut();
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -96,7 +96,7 @@
         let reports = digest.rollout_reports.into_iter();
         let reports = reports.map(|report| report.received(digest.sent, now));
         let mut rollouts = rollouts.borrow_mut();
-        rollouts.merge_reports(reports.collect());
+        rollouts.merge_reports(reports.collect(), serving.collects_usage(now));
         rollouts.record_knowledge(address, digest.rollout_knowledge);
     }
     let mut peers = serving.peers.borrow_mut();
@@ -166,10 +166,14 @@
         send_to(&socket, &mut digest, targets);
         digest.usage = usage;
         if serving.collects_usage(now) {
-            digest.rollout_reports = rollout_reports(&serving, now, round, true);
             digest.centre_usage = serving.usage.borrow().centre_sums();
         }
+        let (holders, collectors) = split_holders(&serving, collectors);
         send_to(&socket, &mut digest, collectors);
+        if !holders.is_empty() && serving.collects_usage(now) {
+            digest.rollout_reports = rollout_reports(&serving, now, round, true);
+        }
+        send_to(&socket, &mut digest, holders);
         tokio::time::sleep(DIGEST_INTERVAL).await;
     }
 }
@@ -187,6 +191,21 @@
     }
 }
 
+/// Splits off the targets that hold the duties; only they need the reports of other instances.
+fn split_holders(
+    serving: &ServingState,
+    targets: Vec<DigestTarget>,
+) -> (Vec<DigestTarget>, Vec<DigestTarget>) {
+    let peers = serving.peers.borrow();
+    let is_holder = |address: &SocketAddr| {
+        let mut peers = peers.iter();
+        peers.any(|(_, peer)| peer.holds_duties && peer.address == *address)
+    };
+    targets
+        .into_iter()
+        .partition(|(address, _)| is_holder(address))
+}
+
 /// Returns the reports on rollouts for the digests of a round; `with_centre` adds those of the
 /// instances of this data centre.
 fn rollout_reports(
--- a/src/rollout_duty.rs
+++ b/src/rollout_duty.rs
@@ -279,7 +279,8 @@
                 state.borrow().versions_in_force(&fleet, &service)
             };
             let context = OrderContext {
-                is_known: policy.service(&service).is_some(),
+                is_known: policy.service(&service).is_some()
+                    || !policy.longest_timeout(&service).is_zero(),
                 running: running.as_ref(),
                 versions: &versions,
             };
--- a/src/rollout_record.rs
+++ b/src/rollout_record.rs
@@ -188,6 +188,15 @@
         }
     }
 
+    /// Returns the rule for calls once no rollout runs: the target after it was completed, and
+    /// otherwise the old side.
+    pub fn final_rule(&self) -> VersionRule {
+        match self.step.step {
+            RolloutStep::Completed => VersionRule::Only(self.target.clone()),
+            _ => self.old_side(),
+        }
+    }
+
     /// Decodes the value of a record. Fails with [`Error::Parse`] if it is not a message of this
     /// type or has a step that this program does not know.
     pub fn decode(value: Bytes) -> Result<Self> {
--- a/src/rollout_report.rs
+++ b/src/rollout_report.rs
@@ -3,13 +3,14 @@
 //!
 //! The load pattern that this is designed for: hundreds of instances, of which the holder of the
 //! duties needs a report each, while most digests reach it seconds apart. Collectors add the reports
-//! of their data centre to their digests, a bounded number in each round.
+//! of their data centre to their digests to the holder, in each round, but the counts of answers,
+//! which are most of their bytes, only of a few instances.
 
 use super::*;
 
-/// Maximum number of other instances' reports in one digest. A report of five routes has about 600
-/// bytes, and a datagram at most 64 KB.
-pub const FORWARDED_REPORTS_MAX: usize = 32;
+/// Maximum number of other instances' reports in one digest that have counts of answers. A report of
+/// five routes has about 600 bytes with them and 40 without.
+pub const FORWARDED_COUNTS_MAX: usize = 8;
 
 /// Report of one process of an instance on the rollout of one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/rollout_state.rs
+++ b/src/rollout_state.rs
@@ -205,6 +205,10 @@
             known.reports.clear();
             known.verdict = None;
         }
+        if !record.is_running() {
+            known.tally = None;
+            known.reports.clear();
+        }
         if record.step.step == RolloutStep::Draining
             && let Some(tally) = &mut known.tally
         {
@@ -258,16 +262,30 @@
         })
     }
 
+    /// Returns true if orders for servers of a service have to wait: a rollout of it runs, or ended a
+    /// short time ago and servers that get no calls have not been stopped yet. The servers of both
+    /// versions together are more than the service needs.
+    pub fn defers_capacity(&self, now: Duration, fleet: &Fleet, service: &ServiceName) -> bool {
+        let Some(known) = self.services.get(service) else {
+            return false;
+        };
+        let Some(record) = &known.record else {
+            return !known.orders.is_empty();
+        };
+        if record.is_running() {
+            return true;
+        }
+        let rule = record.final_rule();
+        let mut servers = fleet.ready_servers(service, &VersionRule::Any);
+        now.saturating_sub(known.changed_at) < ACTIVE_TIME
+            && servers.any(|server| !rule.allows(server))
+    }
+
     /// Returns the versions of a service's servers that may get calls at present, for the check of an
     /// order.
     pub fn versions_in_force(&self, fleet: &Fleet, service: &ServiceName) -> Vec<ServerVersion> {
-        let rule = match self.record(service) {
-            Some(record) if record.step.step == RolloutStep::Completed => {
-                VersionRule::Only(record.target.clone())
-            }
-            Some(record) => record.old_side(),
-            None => VersionRule::Any,
-        };
+        let rule = self.record(service).map(RolloutRecord::final_rule);
+        let rule = rule.unwrap_or_default();
         let servers = fleet.ready_servers(service, &rule);
         servers.map(|server| server.version.clone()).collect()
     }
@@ -464,7 +482,8 @@
     }
 
     /// Returns this instance's reports on the rollouts that run, and, for collectors, those of the
-    /// instances in `others`, at most [`FORWARDED_REPORTS_MAX`], which vary with `round`.
+    /// instances in `others`. Of these at most [`FORWARDED_COUNTS_MAX`], which vary with `round`,
+    /// have counts.
     pub fn reports_to_send(
         &self,
         now: Duration,
@@ -472,7 +491,7 @@
         others: &HashSet<InstanceName>,
     ) -> Vec<RolloutReport> {
         let mut reports = Vec::new();
-        let mut forwarded: Vec<&RolloutReport> = Vec::new();
+        let mut forwarded: Vec<RolloutReport> = Vec::new();
         for (service, known) in &self.services {
             let (Some(record), Some(tally)) = (known.running_record(), &known.tally) else {
                 continue;
@@ -491,20 +510,23 @@
             });
             let of_centre = known.reports.iter();
             let of_centre = of_centre.filter(|(instance, _)| others.contains(*instance));
-            forwarded.extend(of_centre.map(|(_, report)| report));
+            forwarded.extend(of_centre.map(|(_, report)| report.clone()));
         }
-        if forwarded.len() > FORWARDED_REPORTS_MAX {
-            let first = (round as usize).wrapping_mul(FORWARDED_REPORTS_MAX) % forwarded.len();
+        if forwarded.len() > FORWARDED_COUNTS_MAX {
+            let first = (round as usize).wrapping_mul(FORWARDED_COUNTS_MAX) % forwarded.len();
             forwarded.rotate_left(first);
-            forwarded.truncate(FORWARDED_REPORTS_MAX);
+            for report in forwarded.iter_mut().skip(FORWARDED_COUNTS_MAX) {
+                report.tally.routes.clear();
+            }
         }
-        reports.extend(forwarded.into_iter().cloned());
+        reports.extend(forwarded);
         reports
     }
 
     /// Applies the reports of a digest. Those of other orders, or of this instance, are ignored.
-    pub fn merge_reports(&mut self, reports: Vec<RolloutReport>) {
-        for report in reports {
+    /// Collectors keep the counts of each instance to forward them (`keeps_counts`).
+    pub fn merge_reports(&mut self, reports: Vec<RolloutReport>, keeps_counts: bool) {
+        for mut report in reports {
             if report.tally.instance == self.instance {
                 continue;
             }
@@ -518,6 +540,9 @@
                 continue;
             }
             let instance = report.tally.instance.clone();
+            if !keeps_counts {
+                report.tally.routes.clear();
+            }
             let last = known.reports.get(&instance);
             if last.is_none_or(|last| report.replaces(last)) {
                 known.reports.insert(instance, report);
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -370,6 +370,13 @@
         gets_usage && self.reads_log()
     }
 
+    /// Returns true if orders for servers of a service have to wait for the end of a rollout.
+    pub fn defers_capacity(&self, now: Duration, service: &ServiceName) -> bool {
+        let fleet = self.fleet.borrow();
+        let rollouts = self.rollouts.as_ref();
+        rollouts.is_some_and(|state| state.borrow().defers_capacity(now, &fleet, service))
+    }
+
     /// Returns true if the instance may receive calls: its policy was proven to be the newest
     /// recently enough, and it is not stopping.
     pub fn is_ready(&self) -> bool {
