--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -28,6 +28,8 @@
 mod policy_state;
 #[path = "decisions/prefill_rate.rs"]
 mod prefill_rate;
+#[path = "decisions/rollout_state.rs"]
+mod rollout_state;
 #[path = "decisions/rollout_verdict.rs"]
 mod rollout_verdict;
 #[path = "decisions/router.rs"]
