Leave an observed version out of the estimate of the engines

The prefill rate of a service is learned from the time to the first event of all its servers. Answers of a slow new version would have raised the expected time, by which the version itself is judged. They are left out while the version is observed.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -406,7 +406,8 @@
         let mut fleet = self.serving.fleet.borrow_mut();
         let now = boot_time();
         fleet.record_answer(now, now.saturating_sub(elapsed), &attempt.placed.server);
-        let Some(prompt) = &self.call.prompt else {
+        let is_observed = attempt.rollout.as_ref().is_some_and(|r| r.is_observed());
+        let Some(prompt) = self.call.prompt.as_ref().filter(|_| !is_observed) else {
             return;
         };
         fleet.observe_first_event(now, &self.service, prompt, &attempt.placed, elapsed);
--- a/src/rollout_attempt.rs
+++ b/src/rollout_attempt.rs
@@ -22,6 +22,8 @@
     /// True if this is the first attempt of its call. Others have less time left and, while a version
     /// is observed, go to the old side only.
     is_first: bool,
+    /// True if the server is of a version that is being observed.
+    is_observed: bool,
     route: SmolStr,
     server: ServerName,
 }
@@ -43,7 +45,8 @@
                 route.target_latency.mul_f64(PLAIN_EXPECTED_FRACTION)
             }
         };
-        if let Some((step, side)) = rollouts.borrow().placement_of(service, &version) {
+        let placement = rollouts.borrow().placement_of(service, &version);
+        if let Some((step, side)) = placement {
             let side = match side {
                 RolloutSide::New => "new",
                 RolloutSide::Old => "old",
@@ -57,11 +60,18 @@
             first_byte: None,
             has_notice: false,
             is_first,
+            is_observed: placement == Some((RolloutStep::Observing, RolloutSide::New)),
             route: route.name.clone(),
             server: placed.server.clone(),
         })
     }
 
+    /// Returns true if the server is of a version that is being observed. Its times do not count for
+    /// the estimate of the service's engines, which would hide that it is slow.
+    pub(crate) fn is_observed(&self) -> bool {
+        self.is_observed
+    }
+
     /// Records the head of the answer, which arrived after `elapsed`.
     pub(crate) fn record_head(&mut self, elapsed: Duration, status: StatusCode, has_notice: bool) {
         self.first_byte = Some(elapsed);
