Reject calls when peers know an order that cannot be read

An instance whose last known rollout has ended, or that knows of none, kept sending calls to the version in force while it could not read the record of a later order that its peers have named. The old servers of that order may be stopped, at a time that the instance does not know.

decisions::rollout_state passes.

--- a/src/rollout_state.rs
+++ b/src/rollout_state.rs
@@ -106,6 +106,11 @@
         })
     }
 
+    /// Returns true if a peer has named a record that may be of an order which is not known here.
+    fn may_have_next_order(&self) -> bool {
+        self.heard_number > self.number() && self.running_record().is_none()
+    }
+
     /// Rule for the old side. Targets of orders that were not handled yet are left out of it, unless
     /// no other server is left.
     fn old_side(&self, fleet: &Fleet, service: &ServiceName) -> VersionRule {
@@ -319,7 +324,7 @@
             return Ok(plain(VersionRule::Any));
         };
         let is_current = age <= KNOWLEDGE_AGE_MAX;
-        if !is_current && known.may_be_drained(now) {
+        if !is_current && (known.may_be_drained(now) || known.may_have_next_order()) {
             return Err(stale);
         }
         let Some(record) = &known.record else {
--- a/tests/decisions/rollout_state.rs
+++ b/tests/decisions/rollout_state.rs
@@ -197,6 +197,22 @@
     );
 }
 
+#[yare::parameterized(
+    before_any_rollout = { None },
+    after_a_rollout = { Some(RolloutStep::Completed) },
+)]
+fn instance_that_cannot_read_a_record_which_its_peers_have_sends_no_calls(
+    step: Option<RolloutStep>,
+) {
+    let mut state = step.map_or_else(state, state_in);
+    state.record_knowledge(([127, 0, 0, 1], 9_000).into(), vec![(desk(), 3)]);
+    let unix = STARTED + DURATION;
+    let before = versions_reached(&mut state, Duration::from_secs(CURRENT_S), unix);
+    assert_ne!(before, ["none"]);
+    let stale = versions_reached(&mut state, Duration::from_secs(STALE_S), unix);
+    assert_eq!(stale, ["none"]);
+}
+
 #[test]
 fn retried_calls_do_not_reach_a_version_that_is_observed() {
     let mut state = state_in(RolloutStep::Observing);
