Let peers prove that a rollout's record is the newest

In a trial with 32 instances on a busy machine the holder's own reads were up to 1.6 s old, close to the 2 s after which an instance rejects calls. Digests now carry the age of the knowledge, and one of a peer with the same record counts from the echoed send time, as for the policy.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -97,7 +97,7 @@
         let reports = reports.map(|report| report.received(digest.sent, now));
         let mut rollouts = rollouts.borrow_mut();
         rollouts.merge_reports(reports.collect(), serving.collects_usage(now));
-        rollouts.record_knowledge(address, digest.rollout_knowledge);
+        rollouts.record_knowledge(address, digest.echoed, digest.rollout_knowledge);
     }
     let mut peers = serving.peers.borrow_mut();
     if digest.leaving && !peers.is_known(peer) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -306,6 +306,7 @@
 use crate::rollout_record::RolloutRecord;
 use crate::rollout_record::RolloutStatus;
 use crate::rollout_report::FORWARDED_COUNTS_MAX;
+use crate::rollout_report::RolloutKnowledge;
 use crate::rollout_report::RolloutReport;
 use crate::rollout_settings::RolloutSettings;
 use crate::rollout_share::RolloutShare;
--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -43,8 +43,8 @@
     pub policy_age: Option<Duration>,
     /// Version of the policy that the sender applies; 0 if it has none.
     pub policy_version: PolicyVersion,
-    /// Numbers of the newest rollout records that the sender knows, by service.
-    pub rollout_knowledge: Vec<(ServiceName, u64)>,
+    /// Newest rollout records that the sender knows.
+    pub rollout_knowledge: Vec<RolloutKnowledge>,
     /// Reports on rollouts that run, with times by the sender's clock, as in `sent`.
     pub rollout_reports: Vec<RolloutReport>,
     /// Send time by the sender's [`boot_time`], which also advances while the machine is suspended.
@@ -121,14 +121,7 @@
             loads: loads.collect(),
             policy_age_ms: digest.policy_age.map(|age| age.as_millis() as u64),
             policy_version: digest.policy_version,
-            rollout_knowledge: digest
-                .rollout_knowledge
-                .iter()
-                .map(|(service, number)| wire::RolloutKnowledge {
-                    number: *number,
-                    service: service.to_string(),
-                })
-                .collect(),
+            rollout_knowledge: digest.rollout_knowledge.iter().map(Into::into).collect(),
             rollout_reports: digest
                 .rollout_reports
                 .iter()
@@ -184,11 +177,7 @@
             loads,
             policy_age: wire.policy_age_ms.map(millis),
             policy_version: wire.policy_version,
-            rollout_knowledge: wire
-                .rollout_knowledge
-                .into_iter()
-                .map(|known| (known.service.into(), known.number))
-                .collect(),
+            rollout_knowledge: wire.rollout_knowledge.into_iter().map(Into::into).collect(),
             rollout_reports: wire
                 .rollout_reports
                 .into_iter()
--- a/src/rollout_duty.rs
+++ b/src/rollout_duty.rs
@@ -408,7 +408,7 @@
             counts.slow,
             reports.len(),
             oldest.unwrap_or_default().as_millis(),
-            state.age(now).as_millis(),
+            state.age(now, service).as_millis(),
         )
     }
 
--- a/src/rollout_report.rs
+++ b/src/rollout_report.rs
@@ -86,6 +86,38 @@
     }
 }
 
+/// Newest record of a service that an instance knows, as instances tell each other.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutKnowledge {
+    /// Time since the record was last proven to be the newest; `None` if it never was.
+    pub age: Option<Duration>,
+    /// Number of the record.
+    pub number: u64,
+    /// Service of the record.
+    pub service: ServiceName,
+}
+
+impl From<&RolloutKnowledge> for wire::RolloutKnowledge {
+    fn from(known: &RolloutKnowledge) -> Self {
+        Self {
+            age_ms: known.age.map(|age| age.as_millis() as u32),
+            number: known.number,
+            service: known.service.to_string(),
+        }
+    }
+}
+
+impl From<wire::RolloutKnowledge> for RolloutKnowledge {
+    fn from(wire: wire::RolloutKnowledge) -> Self {
+        let age = wire.age_ms.map(u64::from);
+        Self {
+            age: age.map(Duration::from_millis),
+            number: wire.number,
+            service: wire.service.into(),
+        }
+    }
+}
+
 impl From<&SideCounts> for wire::RolloutSideCounts {
     fn from(counts: &SideCounts) -> Self {
         Self {
--- a/src/rollout_state.rs
+++ b/src/rollout_state.rs
@@ -52,6 +52,8 @@
     /// Orders that no known record has handled, oldest first, with the times at which they were
     /// read.
     orders: VecDeque<(Duration, OrderRecord)>,
+    /// Time at which a peer proved that the record is the newest.
+    proven_at: Duration,
     record: Option<RolloutRecord>,
     /// Newest report of each other instance, for the order that runs.
     reports: BTreeMap<InstanceName, RolloutReport>,
@@ -188,10 +190,12 @@
         self.proven_at.is_some()
     }
 
-    /// Returns the time since the known records were proven to be the newest; since boot if they
-    /// never were.
-    pub fn age(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.proven_at.unwrap_or_default())
+    /// Returns the time since the known record of a service was proven to be the newest, by a read or
+    /// by a peer; since boot if it never was.
+    pub fn age(&self, now: Duration, service: &ServiceName) -> Duration {
+        let by_peer = self.services.get(service).map(|known| known.proven_at);
+        let proven_at = self.proven_at.max(by_peer);
+        now.saturating_sub(proven_at.unwrap_or_default())
     }
 
     /// Applies a record. Returns false and keeps the known one if that is newer or the same.
@@ -307,7 +311,7 @@
         route: &str,
         is_first: bool,
     ) -> Result<SideChoice> {
-        let age = self.age(now);
+        let age = self.age(now, service);
         let stale = Error::RolloutStale {
             age_ms: age.as_millis() as u64,
             retry_after_ms: STALE_RETRY_AFTER.as_millis() as u64,
@@ -557,25 +561,42 @@
 
     /// Returns the numbers of the known records for the digests of a round: of those that changed a
     /// short time ago, and of all in some rounds.
-    pub fn knowledge_to_send(&self, now: Duration, round: u64) -> Vec<(ServiceName, u64)> {
+    pub fn knowledge_to_send(&self, now: Duration, round: u64) -> Vec<RolloutKnowledge> {
         let is_full_round = round.is_multiple_of(IDLE_ROUNDS);
         let records = self.records().filter(|(_, record, changed_at)| {
             let is_recent = now.saturating_sub(*changed_at) < ACTIVE_TIME;
             is_full_round || record.is_running() || is_recent
         });
         records
-            .map(|(service, record, _)| (service.clone(), record.step.number))
+            .map(|(service, record, _)| RolloutKnowledge {
+                age: self.is_read().then(|| self.age(now, service)),
+                number: record.step.number,
+                service: service.clone(),
+            })
             .collect()
     }
 
-    /// Records the numbers of the records that a peer at an address knows.
-    pub fn record_knowledge(&mut self, peer: SocketAddr, knowledge: Vec<(ServiceName, u64)>) {
-        for (service, number) in knowledge {
-            let known = self.services.entry(service).or_default();
-            known.heard_number = known.heard_number.max(number);
-            if number > known.number() {
+    /// Records which records a peer at an address knows. `echoed` is the send time of the last digest
+    /// that it received from this instance: it has told the ages after that time, so that they are
+    /// counted from then.
+    pub fn record_knowledge(
+        &mut self,
+        peer: SocketAddr,
+        echoed: Option<Duration>,
+        knowledge: Vec<RolloutKnowledge>,
+    ) {
+        for told in knowledge {
+            let known = self.services.entry(told.service).or_default();
+            known.heard_number = known.heard_number.max(told.number);
+            if told.number > known.number() {
                 self.peer_ahead = Some(peer);
             }
+            if let (Some(echoed), Some(age)) = (echoed, told.age)
+                && told.number == known.number()
+            {
+                let proven_at = echoed.saturating_sub(age);
+                known.proven_at = known.proven_at.max(proven_at);
+            }
         }
     }
 
--- a/src/wire/ebonyspread.rs
+++ b/src/wire/ebonyspread.rs
@@ -781,6 +781,9 @@
     pub service: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub number: u64,
+    /// Time since the record was last proven to be the newest.
+    #[prost(uint32, optional, tag = "3")]
+    pub age_ms: ::core::option::Option<u32>,
 }
 /// What one process of an instance reports of a rollout that runs.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/decisions/rollout_state.rs
+++ b/tests/decisions/rollout_state.rs
@@ -19,6 +19,7 @@
 use ebonyspread::rollout_record::RefusedOrder;
 use ebonyspread::rollout_record::RolloutRecord;
 use ebonyspread::rollout_report::FORWARDED_COUNTS_MAX;
+use ebonyspread::rollout_report::RolloutKnowledge;
 use ebonyspread::rollout_report::RolloutReport;
 use ebonyspread::rollout_settings::RolloutSettings;
 use ebonyspread::rollout_state::RolloutState;
@@ -197,6 +198,35 @@
     );
 }
 
+/// What a peer tells of a record that was proven to be the newest half a second before.
+fn told(number: u64) -> RolloutKnowledge {
+    RolloutKnowledge {
+        age: Some(Duration::from_millis(500)),
+        number,
+        service: desk(),
+    }
+}
+
+// The peer may have built its digest at any time after it received the echoed one.
+#[yare::parameterized(
+    same_record = { told(1), Some(Duration::from_secs(2)), &["v1", "v2"] },
+    same_record_long_ago = { told(1), Some(Duration::from_secs(1)), &["v1"] },
+    nothing_echoed = { told(1), None, &["v1"] },
+    older_record = { told(0), Some(Duration::from_secs(2)), &["v1"] },
+    newer_record = { told(2), Some(Duration::from_secs(2)), &["v1"] },
+)]
+fn only_a_peer_with_the_same_record_and_a_recent_echo_proves_it_to_be_the_newest(
+    told: RolloutKnowledge,
+    echoed_after: Option<Duration>,
+    expected: &[&str],
+) {
+    let mut state = state_in(RolloutStep::Observing);
+    let echoed = echoed_after.map(|after| PROVEN_AT + after);
+    state.record_knowledge(([127, 0, 0, 1], 9_000).into(), echoed, vec![told]);
+    let age = Duration::from_secs(STALE_S);
+    assert_eq!(versions_reached(&mut state, age, STARTED), expected);
+}
+
 #[yare::parameterized(
     before_any_rollout = { None },
     after_a_rollout = { Some(RolloutStep::Completed) },
@@ -205,7 +235,7 @@
     step: Option<RolloutStep>,
 ) {
     let mut state = step.map_or_else(state, state_in);
-    state.record_knowledge(([127, 0, 0, 1], 9_000).into(), vec![(desk(), 3)]);
+    state.record_knowledge(([127, 0, 0, 1], 9_000).into(), None, vec![told(3)]);
     let unix = STARTED + DURATION;
     let before = versions_reached(&mut state, Duration::from_secs(CURRENT_S), unix);
     assert_ne!(before, ["none"]);
