Call versions good by the exact tail, and allow for the end of one server

Change: the exact binomial tail in place of Chernoff's bound for the verdict that a version is good; the failures of the server that ended are found over all routes and left out on each; wider margins of delays. The tests state the rates: good versions bad in under 1 in 1,000, bad ones good in under 1 in 100; 10 in 100 for those that fail 10 in 100 of a part of their answers only.

--- a/src/rollout_verdict.rs
+++ b/src/rollout_verdict.rs
@@ -16,8 +16,13 @@
 //!
 //! A version is good if one that fails 10 in 100 answers more than the old one would show as few
 //! failures with a chance under [`ERROR_RATE_GOOD`], over all answers and over the later half of
-//! them. It is not called good while a test is [`ERROR_RATE_DOUBT`] away from a worse one. A version
-//! that is slow on fewer answers than the margins allow passes.
+//! them (5 in 100 on a single route). It is not called good either while a comparison of failures has a chance under
+//! `ERROR_RATE_DOUBT`, or another one under `ERROR_RATE_DOUBT_OTHER`; then the verdict stays open.
+//!
+//! What passes: a version that is slow on fewer answers than the margins allow; and in up to 10 in
+//! 100 rollouts one that fails 10 in 100 more on a single route, under load or in the later half
+//! only, since it then fails fewer of all answers. Failures of a single server, as many as it runs
+//! calls at once, do not count, so that the end of a server does not.
 
 use super::*;
 
@@ -36,10 +41,14 @@
 
 /// As [`ERROR_RATE_GOOD`], on a single route: with fewer answers there, base failures would keep
 /// good versions from being called good.
-const ERROR_RATE_GOOD_ROUTE: f64 = 0.1;
+const ERROR_RATE_GOOD_ROUTE: f64 = 0.05;
+
+/// Chance of a comparison of failures over all routes under which a version is not called good.
+const ERROR_RATE_DOUBT: f64 = 0.2;
 
-/// Chance of a test under which a version is not called good.
-const ERROR_RATE_DOUBT: f64 = 0.05;
+/// As [`ERROR_RATE_DOUBT`], of any other comparison. There are more of them, so that good versions
+/// would often stay open at a higher one.
+const ERROR_RATE_DOUBT_OTHER: f64 = 0.02;
 
 /// Part of the answers that a bad version fails in addition to those that the old one fails.
 const EXCESS_BAD: f64 = 0.1;
@@ -60,17 +69,23 @@
 /// Delays over the old side's median, in classes of the tally (half powers of 2), and the part of
 /// the answers with a longer one that does not count against a version. Cold caches let prompts
 /// take up to about twice as long as expected, and one or two servers may be slow for a time.
-const DELAY_MARGINS: [(f64, f64); 3] = [(2.0, 0.25), (3.0, 0.2), (4.0, 0.15)];
+const DELAY_MARGINS: [(f64, f64); 3] = [(2.0, 0.35), (3.0, 0.25), (4.0, 0.2)];
 
 /// Failures that the end of one server may cause, whatever its version: about the calls that an
 /// engine runs at once.
 const BROKEN_AT_ONCE_MAX: u32 = 32;
 
+/// Failures of one server over those of the others from which on they may be due to its end.
+const BROKEN_AT_ONCE_MIN: u32 = 5;
+
 /// Answers of the old side below which delays are not compared.
 const OLD_ANSWERS_MIN: u32 = 30;
 
-/// Standard deviations by which the old side's rate is taken to be higher than it shows.
-const OLD_RATE_DEVIATIONS: f64 = 3.0;
+/// Standard deviations by which the old side's rate of failures is taken to be higher than it shows.
+const FAILURE_DEVIATIONS: f64 = 3.0;
+
+/// As [`FAILURE_DEVIATIONS`], for slow answers, whose margins are wider.
+const DELAY_DEVIATIONS: f64 = 1.0;
 
 /// Verdict on the new version of a service, from the answers so far.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -98,6 +113,8 @@
 /// A comparison of the two sides by one property of answers.
 #[derive(Debug)]
 struct Comparison {
+    /// Standard deviations by which the old side's rate is taken to be higher.
+    deviations: f64,
     margin: f64,
     measure: &'static str,
     new: Part,
@@ -113,9 +130,10 @@
     };
     let old_all = sums_of(tally);
     for window in &windows {
+        let ended = ended_group(window);
         for (route, counts) in window {
             let old = old_all.get(route).map(|counts| &counts.old);
-            for comparison in comparisons(tally.is_draining(), counts, old) {
+            for comparison in comparisons(tally.is_draining(), counts, old, ended) {
                 if comparison.is_error_below(ERROR_RATE_TEST) {
                     let route = route.clone();
                     let reason = comparison.reason(route.as_deref());
@@ -166,32 +184,44 @@
     windows
 }
 
+fn ended_group(window: &ScopeCounts) -> Option<usize> {
+    window.get(&None).and_then(|total| total.new.ended_group())
+}
+
 /// Returns true if the answers show that the version does not fail [`EXCESS_BAD`] more than the old
 /// one, and if no test doubts it.
 fn is_shown_good(window: &ScopeCounts) -> bool {
+    let ended = ended_group(window);
     window.iter().all(|(route, counts)| {
         let error_rate = match route {
             None => ERROR_RATE_GOOD,
             Some(_) if counts.new.answers >= ROUTE_ANSWERS_MIN => ERROR_RATE_GOOD_ROUTE,
             Some(_) => 1.0,
         };
-        let failures = counts.failures();
+        let failures = counts.failures(ended);
         let bad_rate = (failures.old.rate_below() + EXCESS_BAD).min(1.0);
-        let is_low = failures.new.count <= bad_rate * failures.new.of;
-        let is_good = is_low && failures.new.tail_bound(bad_rate) <= error_rate;
-        let mut tests = comparisons(false, counts, None).into_iter();
-        is_good && !tests.any(|test| test.is_error_below(ERROR_RATE_DOUBT))
+        let is_good = failures.new.lower_tail(bad_rate) <= error_rate;
+        let doubt = match route {
+            None => ERROR_RATE_DOUBT,
+            Some(_) => ERROR_RATE_DOUBT_OTHER,
+        };
+        let mut others = comparisons(false, counts, None, ended).into_iter();
+        is_good
+            && !failures.is_error_below(doubt)
+            && !others.any(|test| test.is_error_below(ERROR_RATE_DOUBT_OTHER))
     })
 }
 
 /// Returns the comparisons of the sides over a span of time. `old_all` is the old side since the
-/// order, which is compared with while the old version gets no calls.
+/// order, which is compared with while the old version gets no calls; `ended` is that of
+/// [`SideCounts::ended_group`].
 fn comparisons(
     is_draining: bool,
     counts: &RouteCounts,
     old_all: Option<&SideCounts>,
+    ended: Option<usize>,
 ) -> Vec<Comparison> {
-    let mut comparisons = vec![counts.failures()];
+    let mut comparisons = vec![counts.failures(ended)];
     if is_draining {
         for comparison in &mut comparisons {
             comparison.margin = DRAINING_MARGIN;
@@ -204,6 +234,7 @@
         return comparisons;
     }
     comparisons.push(Comparison {
+        deviations: DELAY_DEVIATIONS,
         margin: SLOW_MARGIN,
         measure: "were slow",
         new: Part::new(counts.new.slow, counts.new.answers),
@@ -212,6 +243,7 @@
     let median = median_delay(&counts.old.delays);
     for (classes, margin) in DELAY_MARGINS {
         comparisons.push(Comparison {
+            deviations: DELAY_DEVIATIONS,
             margin,
             measure: "took several times the old side's median",
             new: part_over(&counts.new.delays, median + classes),
@@ -225,7 +257,7 @@
     /// Returns true if a version as good as the old one, plus the margin, would have as many such
     /// answers with a chance below `error_rate`.
     fn is_error_below(&self, error_rate: f64) -> bool {
-        let rate = self.old.rate_above() + self.margin;
+        let rate = self.old.rate_above(self.deviations) + self.margin;
         rate < 1.0 && self.new.count > rate * self.new.of && self.new.tail_bound(rate) < error_rate
     }
 
@@ -264,10 +296,25 @@
         (-self.of * divergence).exp()
     }
 
+    /// Chance that a binomial count with `rate` is at most this one.
+    fn lower_tail(&self, rate: f64) -> f64 {
+        if rate >= 1.0 {
+            return f64::from(self.count >= self.of);
+        }
+        let mut log_term = self.of * (1.0 - rate).ln();
+        let mut tail = log_term.exp();
+        for count in 1..=self.count as u32 {
+            let count = f64::from(count);
+            log_term += ((self.of - count + 1.0) / count * rate / (1.0 - rate)).ln();
+            tail += log_term.exp();
+        }
+        tail.min(1.0)
+    }
+
     /// Rate that the true one hardly exceeds; 1 if there are few answers.
-    fn rate_above(&self) -> f64 {
-        let half = OLD_RATE_DEVIATIONS * OLD_RATE_DEVIATIONS / 2.0;
-        let spread = OLD_RATE_DEVIATIONS * (self.count + half / 2.0).sqrt();
+    fn rate_above(&self, deviations: f64) -> f64 {
+        let half = deviations * deviations / 2.0;
+        let spread = deviations * (self.count + half / 2.0).sqrt();
         match self.of > 0.0 {
             true => ((self.count + half + spread) / self.of).min(1.0),
             false => 1.0,
@@ -285,26 +332,38 @@
 }
 
 impl RouteCounts {
-    fn failures(&self) -> Comparison {
+    /// Compares failures, without those that the end of a server of the new side explains: all
+    /// calls at a server that ends are broken at once, whatever its version.
+    fn failures(&self, ended: Option<usize>) -> Comparison {
+        let broken = ended.map_or(0, |group| self.new.excess_of(group));
         Comparison {
+            deviations: FAILURE_DEVIATIONS,
             margin: FAILURE_MARGIN,
             measure: "failed",
-            new: Part::new(
-                self.new.failures.saturating_sub(self.new.broken_at_once()),
-                self.new.answers,
-            ),
+            new: Part::new(self.new.failures.saturating_sub(broken), self.new.answers),
             old: Part::new(self.old.failures, self.old.answers),
         }
     }
 }
 
 impl SideCounts {
-    /// Failures that the end of one server explains: those by which the server with most is above
-    /// the one with the second most, as far as one server runs so many calls at once.
-    fn broken_at_once(&self) -> u32 {
-        let mut failures = self.failures_by_server;
-        failures.sort_unstable_by(|a, b| b.cmp(a));
-        (failures[0] - failures[1]).min(BROKEN_AT_ONCE_MAX)
+    /// Returns the group of the server whose end explains most failures; `None` if no server has
+    /// clearly more than the others. To be determined over all routes.
+    fn ended_group(&self) -> Option<usize> {
+        let groups = 0..self.failures_by_server.len();
+        let most = groups.max_by_key(|group| self.failures_by_server[*group])?;
+        (self.excess_of(most) >= BROKEN_AT_ONCE_MIN).then_some(most)
+    }
+
+    /// Failures of a group of servers over the mean of the other groups that have failures, as far
+    /// as one server runs so many calls at once.
+    fn excess_of(&self, group: usize) -> u32 {
+        let of_group = self.failures_by_server[group];
+        let failing = self.failures_by_server.iter().filter(|count| **count > 0);
+        let others = (failing.count() as u32).saturating_sub(u32::from(of_group > 0));
+        let total: u32 = self.failures_by_server.iter().sum();
+        let mean = (total - of_group).div_ceil(others.max(1));
+        of_group.saturating_sub(mean).min(BROKEN_AT_ONCE_MAX)
     }
 }
 
