--- a/src/rollout_plan.rs
+++ b/src/rollout_plan.rs
@@ -71,8 +71,9 @@
 
 impl NumberedStep {
     /// Returns true if this step replaces `other`: it has the higher number. Two steps have the same
-    /// number only if the store lost one in a restore before the other was written; then the later
-    /// one in the order of [`RolloutStep`] counts, so that a rollback stays final.
+    /// number only if the store lost one in a restore before the other was written, and no instance
+    /// that knows of it reached its peers meanwhile; then the later one in the order of
+    /// [`RolloutStep`] counts, so that all agree and a rollback stays.
     pub fn replaces(&self, other: &Self) -> bool {
         (self.number, self.order, self.step) > (other.number, other.order, other.step)
     }
--- a/tests/decisions/rollout_verdict.rs
+++ b/tests/decisions/rollout_verdict.rs
@@ -307,3 +307,70 @@
         "{called_good} of {replayed} good"
     );
 }
+
+/// Adds answers, of which some in 100 fail and the others take `factor` times as long as expected.
+fn add(tally: &mut RolloutTally, side: RolloutSide, answers: u32, fails: u32, factor: f64) {
+    for answer in 0..answers {
+        let expected = Duration::from_millis(100);
+        let sample = match answer % 100 < fails {
+            true => AnswerSample::Failed,
+            false => AnswerSample::Answered {
+                expected,
+                first_byte: expected.mul_f64(factor),
+            },
+        };
+        tally.record("long", side, &format!("server-{}", answer % 7), sample);
+    }
+}
+
+#[yare::parameterized(
+    fault_that_makes_both_fail = { 30, 1.0 },
+    overload_that_makes_both_slow = { 0, 12.0 },
+)]
+fn fault_of_both_versions_does_not_count_against_the_new_one(fails: u32, factor: f64) {
+    let mut tally = RolloutTally::new(7);
+    for step in 0..40 {
+        let is_fault = (10..20).contains(&step);
+        let (fails, factor) = if is_fault { (fails, factor) } else { (0, 1.0) };
+        add(&mut tally, RolloutSide::Old, 1_100, fails, factor);
+        add(&mut tally, RolloutSide::New, 100, fails, factor);
+        tally.mark(STEP * step);
+        let verdict = judge(&tally);
+        assert!(
+            !matches!(verdict, RolloutVerdict::Bad { .. }),
+            "{verdict:?}"
+        );
+    }
+    assert_eq!(judge(&tally), RolloutVerdict::Good);
+}
+
+// The old version gets no calls while its servers drain, so that nothing shows whether a fault would
+// hit it too.
+#[yare::parameterized(
+    good = { 0, 1.0, false },
+    some_fail = { 6, 1.0, false },
+    slow_at_first = { 0, 4.0, false },
+    many_fail = { 30, 1.0, true },
+    all_fail = { 100, 1.0, true },
+)]
+fn version_that_turns_bad_while_old_servers_drain_is_found(fails: u32, factor: f64, is_bad: bool) {
+    let mut tally = RolloutTally::new(7);
+    add(&mut tally, RolloutSide::Old, 4_000, 0, 1.0);
+    add(&mut tally, RolloutSide::New, 300, 0, 1.0);
+    tally.begin_draining(STEP);
+    add(&mut tally, RolloutSide::New, 400, fails, factor);
+    let verdict = judge(&tally);
+    assert_eq!(
+        matches!(verdict, RolloutVerdict::Bad { .. }),
+        is_bad,
+        "{verdict:?}"
+    );
+}
+
+#[test]
+fn few_answers_are_not_called_good() {
+    let mut tally = RolloutTally::new(7);
+    add(&mut tally, RolloutSide::Old, 4_000, 0, 1.0);
+    add(&mut tally, RolloutSide::New, 29, 0, 1.0);
+    assert_eq!(judge(&tally), RolloutVerdict::Open);
+}
