--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -13,6 +13,7 @@
 use ebonyspread::fleet::ServerRecord;
 use ebonyspread::prompt::Prompt;
 use ebonyspread::prompt::PromptPart;
+use ebonyspread::rollout_versions::VersionRule;
 use ebonyspread::server_queue::QueueClass;
 use ebonyspread::server_speed::SpeedSums;
 
@@ -74,6 +75,7 @@
             service: &"models".into(),
             suspect: false,
             tried: &[],
+            versions: &VersionRule::Any,
         };
         let started = Instant::now();
         let placed = fleet.place(now, query);
@@ -116,6 +118,7 @@
         service: "models".into(),
         slots: 24,
         spot: false,
+        version: "".into(),
     }
 }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -91,6 +91,15 @@
     if *peer == serving.settings.instance {
         return;
     }
+    if let Some(rollouts) = &serving.rollouts {
+        // Also of an instance that has removed its address: its calls may still run.
+        let reports = std::mem::take(&mut digest.rollout_reports).into_iter();
+        let reports = reports.map(|report| report.received(digest.sent, now));
+        let mut rollouts = rollouts.borrow_mut();
+        rollouts.merge_reports(reports.collect(), serving.collects_usage(now));
+        let knowledge = std::mem::take(&mut digest.rollout_knowledge);
+        rollouts.record_knowledge(address, digest.echoed, knowledge);
+    }
     let mut peers = serving.peers.borrow_mut();
     if digest.leaving && !peers.is_known(peer) {
         // It has removed its address from the log, and is not to be added again by what it still
@@ -156,8 +165,14 @@
         }
         serving.update_overload(now);
         let collectors = collectors(&serving, now);
+        let own_reports = rollout_reports(&serving, now, round, false);
+        let holder_reports = rollout_reports(&serving, now, round, serving.collects_usage(now));
         for (mut digest, targets) in outgoing_digests(&serving, now, round, digest, collectors) {
-            send_to(&socket, &mut digest, targets);
+            let (holders, others) = split_holders(&serving, targets);
+            digest.rollout_reports.clone_from(&own_reports);
+            send_to(&socket, &mut digest, others);
+            digest.rollout_reports.clone_from(&holder_reports);
+            send_to(&socket, &mut digest, holders);
         }
         tokio::time::sleep(DIGEST_INTERVAL).await;
     }
@@ -209,6 +224,42 @@
     }
 }
 
+/// Splits off the targets that hold the duties; only they need the reports of other instances.
+fn split_holders(
+    serving: &ServingState,
+    targets: Vec<DigestTarget>,
+) -> (Vec<DigestTarget>, Vec<DigestTarget>) {
+    let peers = serving.peers.borrow();
+    let is_holder = |address: &SocketAddr| {
+        let mut peers = peers.iter();
+        peers.any(|(_, peer)| peer.holds_duties && peer.address == *address)
+    };
+    targets
+        .into_iter()
+        .partition(|(address, _)| is_holder(address))
+}
+
+/// Returns the reports on rollouts for the digests of a round; `with_centre` adds those of the
+/// instances of this data centre.
+fn rollout_reports(
+    serving: &ServingState,
+    now: Duration,
+    round: u64,
+    with_centre: bool,
+) -> Vec<RolloutReport> {
+    let Some(rollouts) = &serving.rollouts else {
+        return Vec::new();
+    };
+    let mut others = HashSet::new();
+    if with_centre {
+        let peers = serving.peers.borrow();
+        let centre = &serving.settings.data_centre;
+        let of_centre = peers.iter().filter(|(_, peer)| peer.data_centre == *centre);
+        others.extend(of_centre.map(|(name, _)| name.clone()));
+    }
+    rollouts.borrow().reports_to_send(now, round, &others)
+}
+
 fn send_to(socket: &UdpSocket, digest: &mut PeerDigest, targets: Vec<DigestTarget>) {
     for (address, echoed) in targets {
         digest.echoed = echoed;
@@ -224,6 +275,7 @@
 /// receiver, for each peer.
 fn local_digest(serving: &ServingState, now: Duration, round: u64) -> PeerDigest {
     let crash_reports = serving.crash_reports_to_send(now, round);
+    let rollouts = &serving.rollouts;
     let policy = serving.policy.borrow();
     let mut fleet = serving.fleet.borrow_mut();
     let limits = fleet.limits_to_send(now, round);
@@ -251,6 +303,10 @@
         policy_age: policy.age(now),
         policy_version: policy.newest_version(),
         room: None,
+        rollout_knowledge: rollouts.as_ref().map_or(Vec::new(), |rollouts| {
+            rollouts.borrow().knowledge_to_send(now, round)
+        }),
+        rollout_reports: Vec::new(),
         sent: now,
         unix_ms: serving.wall_clock.borrow().local_unix_ms(now),
         usage: serving.usage.borrow().recent_own_counts(),
--- a/tests/decisions/engine_replay.rs
+++ b/tests/decisions/engine_replay.rs
@@ -17,6 +17,7 @@
 use ebonyspread::prefill_rate::PrefillEstimate;
 use ebonyspread::prompt::Prompt;
 use ebonyspread::prompt::PromptPart;
+use ebonyspread::rollout_versions::VersionRule;
 use ebonyspread::server_queue::QueueClass;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -118,6 +119,7 @@
         service: "models".into(),
         slots: 32,
         spot: false,
+        version: "".into(),
     }
 }
 
@@ -196,6 +198,7 @@
             service: &service,
             suspect: false,
             tried: &[],
+            versions: &VersionRule::Any,
         };
         let placed = self.fleets[instance].place(now, query).unwrap();
         let index = index_of(&placed.server);
--- a/tests/decisions/overload_admission.rs
+++ b/tests/decisions/overload_admission.rs
@@ -15,6 +15,7 @@
 use ebonyspread::policy::Policy;
 use ebonyspread::policy::PolicyRoute;
 use ebonyspread::prompt::Prompt;
+use ebonyspread::rollout_versions::VersionRule;
 use smallvec::smallvec;
 use smol_str::SmolStr;
 
@@ -232,6 +233,7 @@
             service: "models".into(),
             slots,
             spot: false,
+            version: "".into(),
         };
         fleet.report(Duration::ZERO, record);
     }
@@ -245,6 +247,7 @@
         service: &SERVICE,
         suspect: false,
         tried: &[],
+        versions: &VersionRule::Any,
     }
 }
 
--- a/tests/decisions/room.rs
+++ b/tests/decisions/room.rs
@@ -85,6 +85,7 @@
                     service: "models".into(),
                     slots: 24,
                     spot: true,
+                    version: "".into(),
                 };
                 fleet.report(now, record);
             }
--- a/tests/decisions/server_queue.rs
+++ b/tests/decisions/server_queue.rs
@@ -13,6 +13,7 @@
 use ebonyspread::policy::PolicyRoute;
 use ebonyspread::prompt::Prompt;
 use ebonyspread::prompt::PromptPart;
+use ebonyspread::rollout_versions::VersionRule;
 use ebonyspread::server_queue::QueueClass;
 use ebonyspread::server_queue::QueuedTokens;
 use ebonyspread::server_speed::SpeedSums;
@@ -136,6 +137,7 @@
         service: &"models".into(),
         suspect: false,
         tried: &[],
+        versions: &VersionRule::Any,
     };
     fleet.place(NOW, query).unwrap()
 }
