--- a/src/peer_digest.rs
+++ b/src/peer_digest.rs
@@ -45,6 +45,10 @@
     pub policy_version: PolicyVersion,
     /// Sums of data centres; `None` where all instances send each other a digest in every round.
     pub room: Option<RoomReport>,
+    /// Newest rollout records that the sender knows.
+    pub rollout_knowledge: Vec<RolloutKnowledge>,
+    /// Reports on rollouts that run, with times by the sender's clock, as in `sent`.
+    pub rollout_reports: Vec<RolloutReport>,
     /// Send time by the sender's [`boot_time`], which also advances while the machine is suspended.
     pub sent: Duration,
     /// Sender's estimate of the time since 1970 in milliseconds, without corrections by its peers.
@@ -124,6 +128,12 @@
             policy_age_ms: digest.policy_age.map(|age| age.as_millis() as u64),
             policy_version: digest.policy_version,
             room: digest.room.as_ref().map(Into::into),
+            rollout_knowledge: digest.rollout_knowledge.iter().map(Into::into).collect(),
+            rollout_reports: digest
+                .rollout_reports
+                .iter()
+                .map(|report| report.to_wire(digest.sent))
+                .collect(),
             sent_ms: digest.sent.as_millis() as u64,
             unix_ms: digest.unix_ms,
             usage: usage.collect(),
@@ -183,6 +193,12 @@
             policy_age: wire.policy_age_ms.map(millis),
             policy_version: wire.policy_version,
             room: wire.room.map(Into::into),
+            rollout_knowledge: wire.rollout_knowledge.into_iter().map(Into::into).collect(),
+            rollout_reports: wire
+                .rollout_reports
+                .into_iter()
+                .map(|report| RolloutReport::from_wire(sent, report))
+                .collect(),
             sent,
             unix_ms: wire.unix_ms,
             usage: wire.usage.into_iter().map(decode_usage).collect(),
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -38,6 +38,9 @@
     pub retry_part: f64,
     /// Length of the time window to which `retry_part` applies.
     pub retry_window: Duration,
+    /// Limits on rollouts of servers' versions; `None` if there are no rollouts, so that versions have
+    /// no effect.
+    pub rollout: Option<RolloutSettings>,
     /// Time after the end of a usage window during which a report of its calls is still accepted.
     pub usage_late: Duration,
     /// Length of a usage window, a period whose calls are reported together.
@@ -135,6 +138,8 @@
     pub refuses_calls: Cell<bool>,
     /// Retries that may still be made; accepted calls add to them.
     pub retry_budget: RefCell<RetryBudget>,
+    /// Rollouts of servers' versions; `None` if the settings allow none.
+    pub rollouts: Option<RefCell<RolloutState>>,
     /// Settings at startup; a reload does not change them.
     pub settings: ServingSettings,
     /// Sums of data centres, which are used in place of their instances' digests.
@@ -158,6 +163,10 @@
         // A clock that is wrong at startup is corrected by the clocks of the peers.
         let unix = Duration::from_millis(unix_ms());
         let usage = UsageCounter::new(boot_time(), settings.data_centre.clone());
+        let life = unix.as_millis() as u64;
+        let rollouts = settings.rollout.map(|rollout| {
+            RefCell::new(RolloutState::new(rollout, settings.instance.clone(), life))
+        });
         let unknown_until = match settings.first_start {
             true => Duration::ZERO,
             false => boot_time() + settings.limit_window,
@@ -178,7 +187,7 @@
             fleet: RefCell::new(Fleet::new(settings.data_centre.clone())),
             holds_duties: Cell::new(false),
             in_flight: Cell::new(0),
-            life: unix.as_millis() as u64,
+            life,
             limits: RefCell::new(UsageLimits::new(settings.limit_window, unknown_until, seed)),
             metrics,
             overload: RefCell::default(),
@@ -191,6 +200,7 @@
             refuses_calls: Cell::new(false),
             retry_budget: RefCell::default(),
             room: RefCell::default(),
+            rollouts,
             settings,
             splitter: RefCell::new(WeightedSplitter::new(seed)),
             started_at: boot_time(),
@@ -366,10 +376,19 @@
         gets_usage && self.reads_log()
     }
 
+    /// Returns true if orders for servers of a service have to wait for the end of a rollout.
+    pub fn defers_capacity(&self, now: Duration, service: &ServiceName) -> bool {
+        let fleet = self.fleet.borrow();
+        let rollouts = self.rollouts.as_ref();
+        rollouts.is_some_and(|state| state.borrow().defers_capacity(now, &fleet, service))
+    }
+
     /// Returns true if the instance may receive calls: its policy was proven to be the newest
     /// recently enough, and it is not stopping.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.fresh_policy(boot_time()).is_ok()
+        let rollouts = self.rollouts.as_ref();
+        let knows_rollouts = rollouts.is_none_or(|rollouts| rollouts.borrow().is_read());
+        !self.draining.get() && knows_rollouts && self.fresh_policy(boot_time()).is_ok()
     }
 
     /// Applies the settings that can change at runtime, which are the maximum age of the policy and
