--- a/src/room_exchange.rs
+++ b/src/room_exchange.rs
@@ -11,6 +11,8 @@
 pub struct RoomExchange {
     collector: RoomCollector,
     delays: ArrivalDelays,
+    /// True if sums are used in deployments that are large enough.
+    is_enabled: bool,
     view: RoomView,
 }
 
@@ -18,6 +20,18 @@
 pub type OutgoingDigest = (PeerDigest, Vec<DigestTarget>);
 
 impl RoomExchange {
+    /// Creates the state of an instance that has received no sums; without `is_enabled` it uses none.
+    pub fn new(is_enabled: bool) -> Self {
+        Self {
+            is_enabled,
+            ..Self::default()
+        }
+    }
+
+    fn uses_sums(&self, peers: &Peers) -> bool {
+        self.is_enabled && peers.uses_sums()
+    }
+
     /// Returns the sums that this instance uses.
     pub fn view(&self) -> &RoomView {
         &self.view
@@ -36,7 +50,7 @@
         digest: &mut PeerDigest,
     ) {
         let (peer, centre) = (&digest.instance, &digest.data_centre);
-        let arrived_at = match peers.uses_sums() {
+        let arrived_at = match self.uses_sums(peers) {
             true => (self.delays).arrived_at(now, peer, digest.life, digest.sent),
             false => now,
         };
@@ -64,7 +78,7 @@
             }
             limits.update_peer_demand(arrived_at, peer, centre, part.demands.clone());
         }
-        if centre == own_centre && peers.uses_sums() {
+        if centre == own_centre && self.uses_sums(peers) {
             self.collector.record(peer, arrived_at, part);
         }
     }
@@ -80,7 +94,7 @@
         digest: &PeerDigest,
     ) -> RoomRound {
         let (instance, centre) = (&digest.instance, &digest.data_centre);
-        let is_large = peers.uses_sums();
+        let is_large = self.uses_sums(peers);
         let is_collector = is_large && peers.is_collector(now, instance, centre);
         self.delays.expire(now);
         self.collector.begin_round(now, is_collector);
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -19,6 +19,10 @@
 /// Settings of one instance; [`ServingState::reload`] can change some of them at runtime.
 #[derive(Debug, Clone, bon::Builder)]
 pub struct ServingSettings {
+    /// True to use sums of data centres in large deployments. A collector needs more than an eighth of
+    /// a processor for them at 295 instances and 250 servers, so they are off by default.
+    #[builder(default)]
+    pub centre_sums: bool,
     /// Data centre in which the instance runs. Only peers in the same one read the log on its
     /// behalf.
     pub data_centre: DataCentreName,
@@ -199,7 +203,7 @@
             policy_age_max: Cell::new(settings.policy_age_max),
             refuses_calls: Cell::new(false),
             retry_budget: RefCell::default(),
-            room: RefCell::default(),
+            room: RefCell::new(RoomExchange::new(settings.centre_sums)),
             rollouts,
             settings,
             splitter: RefCell::new(WeightedSplitter::new(seed)),
--- a/tests/decisions/room.rs
+++ b/tests/decisions/room.rs
@@ -106,7 +106,7 @@
                 is_killed: false,
                 limits: UsageLimits::new(Duration::from_secs(8), Duration::ZERO, 0),
                 peers,
-                room: RoomExchange::default(),
+                room: RoomExchange::new(true),
             });
         }
         Self {
