--- /dev/null
+++ b/review/src-2/main.rs
@@ -0,0 +1,54 @@
+//! Cases of the second review that run the deployed program against stand-ins on loopback addresses.
+//!
+//! `cases NAME FOLDER` runs a case and writes `record.txt` to the folder. It exits with 1 if the rule
+//! was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left
+//! out.
+
+mod http;
+mod instance;
+mod record;
+mod stalled_streams;
+mod store;
+mod worker;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use record::Record;
+
+/// Result of a case.
+pub enum Verdict {
+    Broken,
+    Held,
+    NotRun(&'static str),
+}
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let name = arguments.next().unwrap_or_default();
+    let folder = PathBuf::from(arguments.next().unwrap_or_default());
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let record = Record::new(folder.join("record.txt"));
+    let scratch = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+    if std::fs::create_dir_all(&scratch).is_err() {
+        return ExitCode::from(2);
+    }
+    let verdict = match name.as_str() {
+        "stalled-streams" => stalled_streams::run(&record, &scratch, has_trouble),
+        _ => Verdict::NotRun("no such case"),
+    };
+    let (code, text) = match verdict {
+        Verdict::Broken => (1, "broken"),
+        Verdict::Held => (0, "held"),
+        Verdict::NotRun(reason) => (2, reason),
+    };
+    record.line(format!("verdict: {text}"));
+    record.write();
+    println!("{name}: {text}");
+    if std::env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(&scratch);
+    } else {
+        println!("{}", scratch.display());
+    }
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/review/src-2/worker.rs
@@ -0,0 +1,124 @@
+//! Stand-in for a worker: accepts connections and runs requests as its behaviour says.
+
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Instant;
+
+use crate::http::Request;
+use crate::http::read_request;
+use crate::http::respond;
+
+/// Answers one request. Returns false to close the connection.
+pub type Behaviour = dyn Fn(&Worker, &Request, &mut TcpStream) -> bool + Send + Sync;
+
+/// What a worker has done with a request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub at: Instant,
+    pub request: String,
+    pub what: String,
+}
+
+#[derive(Clone)]
+pub struct Worker {
+    pub address: SocketAddr,
+    behaviour: Arc<Behaviour>,
+    pub id: String,
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+impl Worker {
+    pub fn start(
+        id: &str,
+        behaviour: impl Fn(&Worker, &Request, &mut TcpStream) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let worker = Self {
+            address: listener.local_addr().expect("an address"),
+            behaviour: Arc::new(behaviour),
+            id: id.to_owned(),
+            runs: Arc::default(),
+        };
+        let serving = worker.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let worker = serving.clone();
+                thread::spawn(move || worker.serve(stream));
+            }
+        });
+        worker
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = read_request(&mut reader) {
+            let expected = request.header("x-expect-instance").unwrap_or(&self.id);
+            if expected != self.id {
+                let headers = format!("X-Instance-Id: {}\r\n", self.id);
+                if !respond(&mut writer, 421, &headers, b"") {
+                    return;
+                }
+                continue;
+            }
+            if !(self.behaviour)(self, &request, &mut writer) {
+                return;
+            }
+        }
+    }
+
+    /// Records what happened to a request.
+    pub fn note(&self, request: &Request, what: impl Into<String>) {
+        let run = Run {
+            at: Instant::now(),
+            request: request.id().to_owned(),
+            what: what.into(),
+        };
+        self.runs.lock().expect("lock").push(run);
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().expect("lock").clone()
+    }
+
+    /// Headers of an answer of this worker to a request that it has run.
+    pub fn headers(&self, request: &Request) -> String {
+        let id = request.id();
+        format!(
+            "X-Request-Id: {id}\r\nX-Response-Seal: {}.{id}\r\n",
+            self.id
+        )
+    }
+
+    /// Refuses a request, which has not run, because the worker is full.
+    pub fn refuse(&self, request: &Request, stream: &mut TcpStream) -> bool {
+        self.note(request, "refused");
+        let headers = format!("X-Request-Id: {}\r\nX-Not-Executed: 1\r\n", request.id());
+        respond(stream, 503, &headers, b"")
+    }
+
+    /// Entry of the worker in the store.
+    pub fn entry(&self, service: &str, zone: &str, slots: u32) -> String {
+        format!(
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\
+             \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"coldRemainingMs\":0,\
+             \"sequence\":1,\"born\":1700000000000}}",
+            self.address
+        )
+    }
+}
+
+/// Writes one chunk of a response. Returns false if the connection is closed.
+pub fn write_chunk(stream: &mut TcpStream, chunk: &str) -> bool {
+    let text = format!("{:x}\r\n{chunk}\r\n", chunk.len());
+    stream.write_all(text.as_bytes()).is_ok()
+}
