Review: large requests take the process over its memory

Cause: bodies of requests are kept whole, for as long as their answer takes, and no budget covers all of them.

--- a/review/src-2/instance.rs
+++ b/review/src-2/instance.rs
@@ -56,6 +56,15 @@
         let _ = Command::new("sh").args(["-c", &command]).status();
     }
 
+    /// Memory of the process that is in use, as the platform counts it.
+    pub fn memory_kib(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.trim().trim_end_matches(" kB").parse().ok()
+    }
+
     pub fn wait_ready(&self, timeout: Duration) -> bool {
         let request = "GET /ready HTTP/1.1\r\nHost: status\r\nConnection: close\r\n\r\n";
         let until = Instant::now() + timeout;
--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -6,6 +6,7 @@
 
 mod http;
 mod instance;
+mod large_prompts;
 mod record;
 mod stalled_streams;
 mod store;
@@ -34,6 +35,7 @@
         return ExitCode::from(2);
     }
     let verdict = match name.as_str() {
+        "large-prompts" => large_prompts::run(&record, &scratch, has_trouble),
         "stalled-streams" => stalled_streams::run(&record, &scratch, has_trouble),
         _ => Verdict::NotRun("no such case"),
     };
