Review: idle connections take the process over its memory

Cause: connections that callers leave open are kept for 120 s, whatever idleTimeoutMs says, and each keeps the buffer of its last request.

--- a/review/src-2/instance.rs
+++ b/review/src-2/instance.rs
@@ -19,6 +19,9 @@
 /// Program of the role `entry` in `deploy/system.toml`.
 const PROGRAM: &str = "target/release/ebonyspread-platform";
 
+/// `maxFds` of the settings.
+const DESCRIPTORS: u32 = 4_200;
+
 /// Below the range from which the system picks ports for outgoing connections.
 const FIRST_PORT: u16 = 21_000;
 
@@ -38,7 +41,10 @@
         let path = folder.join(format!("{name}.toml"));
         std::fs::write(&path, settings).expect("a writable folder");
         let log = File::create(folder.join(format!("{name}.log"))).expect("a writable folder");
-        let child = Command::new(PROGRAM)
+        // The platform limits the descriptors of each process.
+        let command = format!("ulimit -n {DESCRIPTORS} && exec {PROGRAM}");
+        let child = Command::new("sh")
+            .args(["-c", &command])
             .env("EBONYSPREAD_CONFIG", &path)
             .stdout(log)
             .stderr(Stdio::null())
@@ -51,12 +57,13 @@
         }
     }
 
-    pub fn signal(&self, name: &str) {
-        let command = format!("kill -{name} {}", self.child.id());
-        let _ = Command::new("sh").args(["-c", &command]).status();
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 
-    /// Memory of the process that is in use, as the platform counts it.
+    /// Memory of the process that is in use.
     pub fn memory_kib(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
         let line = status
@@ -65,6 +72,12 @@
         line.trim().trim_end_matches(" kB").parse().ok()
     }
 
+    /// Number of descriptors that the process has open.
+    pub fn descriptors(&self) -> usize {
+        let folder = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(folder).map_or(0, Iterator::count)
+    }
+
     pub fn wait_ready(&self, timeout: Duration) -> bool {
         let request = "GET /ready HTTP/1.1\r\nHost: status\r\nConnection: close\r\n\r\n";
         let until = Instant::now() + timeout;
@@ -76,24 +89,11 @@
         }
         false
     }
-
-    /// Waits for the process to exit by itself. Returns false if it does not.
-    pub fn wait_exit(&mut self, timeout: Duration) -> bool {
-        let until = Instant::now() + timeout;
-        while Instant::now() < until {
-            if let Ok(Some(_)) = self.child.try_wait() {
-                return true;
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        false
-    }
 }
 
 impl Drop for Instance {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
@@ -122,7 +122,7 @@
          seeds = []\nbootstrap = true\ndiscovery = \"platform\"\nentry = \"vip\"\n\
          beatIntervalMs = 1200\n[zones]\ndc-a = \"r\"\n\
          [listen]\nfront = \"{callers}\"\nready = \"{status}\"\n\
-         [limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4200\n\
+         [limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = {DESCRIPTORS}\n\
          [bounds]\ncontactMs = 3000\ndrainMs = 2000\ngraceS = 8\nlossSlackMs = 200\n\
          configApplyMs = 2000\nstrictRevoke = true\nrevokeMs = 5000\nretryBudgetRatio = 0.2\n\
          budgetWindowS = 10\nretryBudgetSlack = 52\nquotaWindowS = 8\nleaseMs = 3000\n\
--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -4,11 +4,13 @@
 //! was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left
 //! out.
 
+mod clients;
+mod deployment;
+mod descriptors;
 mod http;
+mod idle_memory;
 mod instance;
-mod large_prompts;
 mod record;
-mod stalled_streams;
 mod store;
 mod worker;
 
@@ -27,6 +29,11 @@
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
     let name = arguments.next().unwrap_or_default();
+    if name == "clients" {
+        let arguments: Vec<String> = arguments.collect();
+        clients::run_helper(&arguments);
+        return ExitCode::from(2);
+    }
     let folder = PathBuf::from(arguments.next().unwrap_or_default());
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::new(folder.join("record.txt"));
@@ -35,8 +42,8 @@
         return ExitCode::from(2);
     }
     let verdict = match name.as_str() {
-        "large-prompts" => large_prompts::run(&record, &scratch, has_trouble),
-        "stalled-streams" => stalled_streams::run(&record, &scratch, has_trouble),
+        "descriptors" => descriptors::run(&record, &scratch, has_trouble),
+        "idle-memory" => idle_memory::run(&record, &scratch, has_trouble),
         _ => Verdict::NotRun("no such case"),
     };
     let (code, text) = match verdict {
--- a/review/src-2/worker.rs
+++ b/review/src-2/worker.rs
@@ -1,14 +1,13 @@
 //! Stand-in for a worker: accepts connections and runs requests as its behaviour says.
 
+use std::collections::HashSet;
 use std::io::BufReader;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
-use std::time::Instant;
 
 use crate::http::Request;
 use crate::http::read_request;
@@ -17,20 +16,13 @@
 /// Answers one request. Returns false to close the connection.
 pub type Behaviour = dyn Fn(&Worker, &Request, &mut TcpStream) -> bool + Send + Sync;
 
-/// What a worker has done with a request.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub at: Instant,
-    pub request: String,
-    pub what: String,
-}
-
 #[derive(Clone)]
 pub struct Worker {
     pub address: SocketAddr,
     behaviour: Arc<Behaviour>,
     pub id: String,
-    runs: Arc<Mutex<Vec<Run>>>,
+    /// Ids of the requests that it has begun to run.
+    runs: Arc<Mutex<HashSet<String>>>,
 }
 
 impl Worker {
@@ -76,18 +68,17 @@
         }
     }
 
-    /// Records what happened to a request.
-    pub fn note(&self, request: &Request, what: impl Into<String>) {
-        let run = Run {
-            at: Instant::now(),
-            request: request.id().to_owned(),
-            what: what.into(),
-        };
-        self.runs.lock().expect("lock").push(run);
+    /// Records that a request has begun to run.
+    pub fn note(&self, request: &Request) {
+        self.runs
+            .lock()
+            .expect("lock")
+            .insert(request.id().to_owned());
     }
 
-    pub fn runs(&self) -> Vec<Run> {
-        self.runs.lock().expect("lock").clone()
+    /// Returns true if a request has begun to run here.
+    pub fn has_run(&self, request: &str) -> bool {
+        self.runs.lock().expect("lock").contains(request)
     }
 
     /// Headers of an answer of this worker to a request that it has run.
@@ -99,13 +90,6 @@
         )
     }
 
-    /// Refuses a request, which has not run, because the worker is full.
-    pub fn refuse(&self, request: &Request, stream: &mut TcpStream) -> bool {
-        self.note(request, "refused");
-        let headers = format!("X-Request-Id: {}\r\nX-Not-Executed: 1\r\n", request.id());
-        respond(stream, 503, &headers, b"")
-    }
-
     /// Entry of the worker in the store.
     pub fn entry(&self, service: &str, zone: &str, slots: u32) -> String {
         format!(
@@ -116,9 +100,3 @@
         )
     }
 }
-
-/// Writes one chunk of a response. Returns false if the connection is closed.
-pub fn write_chunk(stream: &mut TcpStream, chunk: &str) -> bool {
-    let text = format!("{:x}\r\n{chunk}\r\n", chunk.len());
-    stream.write_all(text.as_bytes()).is_ok()
-}
