Review: a body without end in small chunks outlasts its route's timeout

Cause: pass_through counts only the time in which the server's connection has nothing to read, so that a server that always sends more is never timed out.

--- a/review/src-2/deployment.rs
+++ b/review/src-2/deployment.rs
@@ -18,8 +18,11 @@
 pub const MACHINES: f64 = 6.0;
 pub const MACHINES_LEFT: f64 = 3.0;
 
+/// Usual timeout of the route for orders: the deadline of its callers.
+const USUAL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 const CONFIGURATION: &str = r#"{"version":1,"routes":[
-{"name":"orders","host":"h.example","pathPrefix":"/orders/","kind":"unsafe","timeoutMs":1500,
+{"name":"orders","host":"h.example","pathPrefix":"/orders/","kind":"unsafe","timeoutMs":TIMEOUT_MS,
 "targetLatencyMs":150,"priority":0,"service":"shop","maxAttempts":1,"anonymous":false}],
 "services":[{"name":"shop","healthPath":"/health","maxConnections":96}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
@@ -32,17 +35,28 @@
 }
 
 impl Deployment {
-    /// Starts all parts; a worker needs `work_time` for an order. Returns `None` if the instance does
-    /// not become ready.
-    pub fn start(scratch: &Path, work_time: Duration) -> Option<Self> {
-        let store = Store::start();
-        store.put("keyed.op", "config", CONFIGURATION);
+    /// Starts all parts, with sound workers that need `work_time` for an order. Returns `None` if the
+    /// instance does not become ready.
+    pub fn start_sound(scratch: &Path, work_time: Duration) -> Option<Self> {
         let run = move |worker: &Worker, request: &Request, stream: &mut TcpStream| {
             worker.note(request);
             thread::sleep(work_time);
             respond(stream, 200, &worker.headers(request), b"ok")
         };
-        let workers = ["i-one", "i-two", "i-three"].map(|id| Worker::start(id, run));
+        Self::start(scratch, USUAL_TIMEOUT, run)
+    }
+
+    /// Starts all parts, with a timeout of the route for orders and workers that behave as `run` says.
+    pub fn start(
+        scratch: &Path,
+        timeout: Duration,
+        run: impl Fn(&Worker, &Request, &mut TcpStream) -> bool + Clone + Send + Sync + 'static,
+    ) -> Option<Self> {
+        let store = Store::start();
+        let timeout_ms = timeout.as_millis().to_string();
+        let configuration = CONFIGURATION.replace("TIMEOUT_MS", &timeout_ms);
+        store.put("keyed.op", "config", &configuration);
+        let workers = ["i-one", "i-two", "i-three"].map(|id| Worker::start(id, run.clone()));
         for worker in &workers {
             store.put(
                 "keyed.servers",
--- a/review/src-2/descriptors.rs
+++ b/review/src-2/descriptors.rs
@@ -85,7 +85,7 @@
 }
 
 pub fn run(record: &Record, scratch: &Path, has_trouble: bool) -> Verdict {
-    let Some(deployment) = Deployment::start(scratch, WORK_TIME) else {
+    let Some(deployment) = Deployment::start_sound(scratch, WORK_TIME) else {
         return Verdict::NotRun("instance not ready; it needs 4,200 descriptors");
     };
     let instance = &deployment.instance;
--- a/review/src-2/idle_memory.rs
+++ b/review/src-2/idle_memory.rs
@@ -83,7 +83,7 @@
 }
 
 pub fn run(record: &Record, scratch: &Path, has_trouble: bool) -> Verdict {
-    let Some(mut deployment) = Deployment::start(scratch, WORK_TIME) else {
+    let Some(mut deployment) = Deployment::start_sound(scratch, WORK_TIME) else {
         return Verdict::NotRun("instance not ready; it needs 4,200 descriptors");
     };
     let address = deployment.instance.callers;
--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod deployment;
 mod descriptors;
+mod endless_chunks;
 mod http;
 mod idle_memory;
 mod instance;
@@ -43,6 +44,7 @@
     }
     let verdict = match name.as_str() {
         "descriptors" => descriptors::run(&record, &scratch, has_trouble),
+        "endless-chunks" => endless_chunks::run(&record, &scratch, has_trouble),
         "idle-memory" => idle_memory::run(&record, &scratch, has_trouble),
         _ => Verdict::NotRun("no such case"),
     };
