Review: copies of configurations take the process over its memory

Cause: a feed keeps the last 1,024 changes of its topic with their values, whatever their size; of a configuration only the newest is ever needed. Callers who lose orders are a module of their own.

--- a/review/src-2/instance.rs
+++ b/review/src-2/instance.rs
@@ -19,6 +19,9 @@
 /// Program of the role `entry` in `deploy/system.toml`.
 const PROGRAM: &str = "target/release/ebonyspread-platform";
 
+/// `memoryMb` of the settings.
+pub const MEMORY_KIB: u64 = 260 << 10;
+
 /// `maxFds` of the settings.
 const DESCRIPTORS: u32 = 4_200;
 
--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -4,7 +4,9 @@
 //! was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left
 //! out.
 
+mod callers;
 mod clients;
+mod configurations;
 mod deployment;
 mod descriptors;
 mod endless_chunks;
@@ -43,6 +45,7 @@
         return ExitCode::from(2);
     }
     let verdict = match name.as_str() {
+        "configurations" => configurations::run(&record, &scratch, has_trouble),
         "descriptors" => descriptors::run(&record, &scratch, has_trouble),
         "endless-chunks" => endless_chunks::run(&record, &scratch, has_trouble),
         "idle-memory" => idle_memory::run(&record, &scratch, has_trouble),
