Review: the scripts run where the limit of descriptors is lower

Cause: where 4,200 descriptors cannot be set, no instance started, although only case 8 needs the limit. Added: the limit is asked for; case 8 exits with 2 where it is not in force.

--- a/review/src-2/configurations.rs
+++ b/review/src-2/configurations.rs
@@ -30,7 +30,7 @@
 
 pub fn run(record: &Record, scratch: &Path, has_trouble: bool) -> Verdict {
     let Some(mut deployment) = Deployment::start_sound(scratch, WORK_TIME) else {
-        return Verdict::NotRun("instance not ready; it needs 4,200 descriptors");
+        return Verdict::NotRun("instance not ready");
     };
     let callers = Callers::start(deployment.instance.callers);
     let bytes = match has_trouble {
--- a/review/src-2/descriptors.rs
+++ b/review/src-2/descriptors.rs
@@ -86,9 +86,12 @@
 
 pub fn run(record: &Record, scratch: &Path, has_trouble: bool) -> Verdict {
     let Some(deployment) = Deployment::start_sound(scratch, WORK_TIME) else {
-        return Verdict::NotRun("instance not ready; it needs 4,200 descriptors");
+        return Verdict::NotRun("instance not ready");
     };
     let instance = &deployment.instance;
+    if !instance.has_descriptor_limit() {
+        return Verdict::NotRun("the limit of 4,200 descriptors cannot be set");
+    }
     let address = instance.callers;
     let Ok(status) = TcpStream::connect(instance.status) else {
         return Verdict::NotRun("no connection for readiness");
--- a/review/src-2/endless_chunks.rs
+++ b/review/src-2/endless_chunks.rs
@@ -142,7 +142,7 @@
         respond(stream, 200, &worker.headers(request), b"ok")
     };
     let Some(deployment) = Deployment::start(scratch, TIMEOUT, behaviour) else {
-        return Verdict::NotRun("instance not ready; it needs 4,200 descriptors");
+        return Verdict::NotRun("instance not ready");
     };
     let address = deployment.instance.callers;
     let gap = Duration::from_secs_f64(MACHINES_LEFT / REQUESTS_PER_S);
--- a/review/src-2/instance.rs
+++ b/review/src-2/instance.rs
@@ -45,7 +45,7 @@
         std::fs::write(&path, settings).expect("a writable folder");
         let log = File::create(folder.join(format!("{name}.log"))).expect("a writable folder");
         // The platform limits the descriptors of each process.
-        let command = format!("ulimit -n {DESCRIPTORS} && exec {PROGRAM}");
+        let command = format!("ulimit -n {DESCRIPTORS}; exec {PROGRAM}");
         let child = Command::new("sh")
             .args(["-c", &command])
             .env("EBONYSPREAD_CONFIG", &path)
@@ -75,6 +75,17 @@
         line.trim().trim_end_matches(" kB").parse().ok()
     }
 
+    /// Returns true if the process has the limit of the settings for its descriptors.
+    pub fn has_descriptor_limit(&self) -> bool {
+        let limits = std::fs::read_to_string(format!("/proc/{}/limits", self.child.id()));
+        let limits = limits.unwrap_or_default();
+        let line = limits
+            .lines()
+            .find(|line| line.starts_with("Max open files"));
+        let soft = line.and_then(|line| line.split_whitespace().nth(3)?.parse().ok());
+        soft == Some(DESCRIPTORS)
+    }
+
     /// Number of descriptors that the process has open.
     pub fn descriptors(&self) -> usize {
         let folder = format!("/proc/{}/fd", self.child.id());
