--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -1,6 +1,6 @@
 //! Cases of the second review that run the deployed program against stand-ins on loopback addresses.
 //!
-//! `cases NAME FOLDER` runs a case and writes `record.txt` to the folder. It exits with 1 if the rule
+//! `cases NAME RECORD` runs a case and writes its record to that file. It exits with 1 if the rule
 //! was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left
 //! out.
 
@@ -37,9 +37,9 @@
         clients::run_helper(&arguments);
         return ExitCode::from(2);
     }
-    let folder = PathBuf::from(arguments.next().unwrap_or_default());
+    let record = PathBuf::from(arguments.next().unwrap_or_default());
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let record = Record::new(folder.join("record.txt"));
+    let record = Record::new(record);
     let scratch = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
     if std::fs::create_dir_all(&scratch).is_err() {
         return ExitCode::from(2);
