Close callers' idle connections when the operators' limit says so

Cause: idle connections were kept for a constant 120 s. Of the operators' `limits` only `maxBodyBytes` was decoded, so `idleTimeoutMs` (15 s there) had no effect, and a connection on which nothing ever came was never closed.

Evidence: the descriptors of the process grew with each client, 45 a second, until the end (1,855 at 41 s), at 126 KiB each; with the limit kept they would stay at about 680 and the rest. Ruled out: bodies of requests in progress (a call takes 30 ms there, and memory grows with the connections left open).

Fix: `idleTimeoutMs` is part of the policy. Connections are observed once a second; one that has had neither a call nor a byte for that long reads as ended, unless bytes have arrived that the event loop has not reported yet. The timeout is that of the policy in force, so an edit holds for open connections too. Connections for readiness and metrics must send a request within 10 s. Added: log line `idle`, metrics `caller_connections`, `idle_connections_closed`.

--- a/src/caller_connection.rs
+++ b/src/caller_connection.rs
@@ -1,4 +1,5 @@
-//! TCP connection of a caller that records for the log what was read and written.
+//! TCP connection of a caller that records what was read and written, and ends when it has been idle
+//! for too long.
 
 use super::*;
 
@@ -6,7 +7,6 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
-use std::task::ready;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -33,7 +33,16 @@
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
         let has_room = buffer.remaining() > 0;
-        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
+        let result = match Pin::new(&mut self.stream).poll_read(cx, buffer) {
+            Poll::Ready(result) => result,
+            Poll::Pending if !self.trace.wait_for_bytes(cx) => return Poll::Pending,
+            Poll::Pending => match read_without_readiness(&self.stream, buffer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return Poll::Ready(Ok(()));
+                }
+                result => result,
+            },
+        };
         let count = result.map(|()| buffer.filled().len() - filled);
         if has_room {
             self.trace.record_read(&count);
@@ -42,15 +51,23 @@
     }
 }
 
+/// Reads what has arrived, even if the event loop has not reported it yet: a request that came just
+/// before its idle connection is closed must be answered.
+fn read_without_readiness(stream: &TcpStream, buffer: &mut ReadBuf<'_>) -> io::Result<()> {
+    let count = rustix::io::read(stream, buffer.initialize_unfilled())?;
+    buffer.advance(count);
+    Ok(())
+}
+
 impl AsyncWrite for CallerConnection {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut std::task::Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes));
+        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
         self.trace.record_write(&result);
-        Poll::Ready(result)
+        result
     }
 
     fn poll_write_vectored(
@@ -58,9 +75,9 @@
         cx: &mut std::task::Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices));
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
         self.trace.record_write(&result);
-        Poll::Ready(result)
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/connection_trace.rs
+++ b/src/connection_trace.rs
@@ -7,6 +7,10 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::rc::Weak;
+use std::task::Context as TaskContext;
+use std::task::Poll;
+
+use futures_util::task::AtomicWaker;
 
 /// Side that closed a caller's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,9 +83,16 @@
 pub(crate) struct ConnectionTrace {
     call: RefCell<Weak<CallTrace>>,
     closed_by_caller: Cell<bool>,
+    idle_clock: Cell<IdleClock>,
+    /// True if the connection is to be closed unless it is used before its next read.
+    is_expired: Cell<bool>,
     last_call: RefCell<LastCall>,
     pub(crate) peer: SocketAddr,
     read_bytes: Cell<u64>,
+    /// Wakes the task that reads from the connection.
+    reader: AtomicWaker,
+    /// True if the caller reads more slowly than bytes are written.
+    write_blocked: Cell<bool>,
     written_bytes: Cell<u64>,
 }
 
@@ -91,23 +102,70 @@
         Self {
             call: RefCell::default(),
             closed_by_caller: Cell::new(false),
+            idle_clock: Cell::default(),
+            is_expired: Cell::new(false),
             last_call: RefCell::default(),
             peer,
             read_bytes: Cell::new(0),
+            reader: AtomicWaker::new(),
+            write_blocked: Cell::new(false),
             written_bytes: Cell::new(0),
         }
     }
 
+    /// Returns what the connection does now.
+    fn activity(&self) -> ConnectionActivity {
+        let is_busy = match self.unanswered() {
+            Some(Unanswered::Call(_) | Unanswered::Response(_)) => true,
+            Some(Unanswered::Bytes(_)) | None => self.write_blocked.get(),
+        };
+        ConnectionActivity {
+            bytes: self.read_bytes.get() + self.written_bytes.get(),
+            is_busy,
+        }
+    }
+
+    /// Observes the connection at time `now` since boot. If it has been idle for `timeout`, makes it
+    /// close unless a request arrives before, and returns true.
+    pub(crate) fn expire(&self, now: Duration, timeout: Duration) -> bool {
+        let mut idle_clock = self.idle_clock.get();
+        let idle = idle_clock.observe(now, self.activity());
+        self.idle_clock.set(idle_clock);
+        let has_expired = idle >= timeout && !self.is_expired.get();
+        if has_expired {
+            self.is_expired.set(true);
+            self.reader.wake();
+        }
+        has_expired
+    }
+
+    /// Registers the task that waits for bytes from the caller, and returns true if the connection
+    /// is to be closed because nothing has come for too long.
+    pub(crate) fn wait_for_bytes(&self, cx: &TaskContext<'_>) -> bool {
+        self.reader.register(cx.waker());
+        if self.is_expired.get() && self.activity().is_busy {
+            self.is_expired.set(false);
+        }
+        self.is_expired.get()
+    }
+
     /// Records the result of a read from the caller; 0 bytes are the end of what it sends.
     pub(crate) fn record_read(&self, result: &std::io::Result<usize>) {
         match result {
             Ok(0) | Err(_) => self.closed_by_caller.set(true),
-            Ok(count) => self.read_bytes.set(self.read_bytes.get() + *count as u64),
+            Ok(count) => {
+                self.is_expired.set(false);
+                self.read_bytes.set(self.read_bytes.get() + *count as u64);
+            }
         }
     }
 
-    /// Records the result of a write to the caller.
-    pub(crate) fn record_write(&self, result: &std::io::Result<usize>) {
+    /// Records the result of a write to the caller; `Pending` if the caller has to read first.
+    pub(crate) fn record_write(&self, result: &Poll<std::io::Result<usize>>) {
+        self.write_blocked.set(result.is_pending());
+        let Poll::Ready(result) = result else {
+            return;
+        };
         match result {
             Ok(count) => self
                 .written_bytes
--- a/src/front.rs
+++ b/src/front.rs
@@ -26,9 +26,12 @@
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Idle time after which a caller's connection is closed. It exceeds the time for which any caller
-/// reuses a connection, so that no request is sent while the connection is being closed.
-const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Idle time after which a connection for readiness or metrics is closed.
+const STATUS_KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Maximum time from the acceptance of a connection for readiness or metrics to the end of the head
+/// of its first request.
+const STATUS_REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Purpose of a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,9 +80,18 @@
             Ok::<Response<BoxBody>, actix_http::Error>(response)
         }
     });
+    // Idle connections of callers are closed by `ServingState::close_idle_callers`, since their
+    // timeout changes with the policy.
+    let (keep_alive, request_timeout) = match kind {
+        FrontKind::Callers => (KeepAlive::Os, Duration::ZERO),
+        FrontKind::Status => (
+            KeepAlive::Timeout(STATUS_KEEP_ALIVE_TIMEOUT),
+            STATUS_REQUEST_TIMEOUT,
+        ),
+    };
     let factory = HttpServiceBuilder::default()
-        .keep_alive(KeepAlive::Timeout(KEEP_ALIVE_TIMEOUT))
-        .client_request_timeout(Duration::ZERO)
+        .keep_alive(keep_alive)
+        .client_request_timeout(request_timeout)
         .client_disconnect_timeout(Duration::from_secs(1))
         .h1_allow_half_closed(false)
         .on_connect_ext(|connection: &CallerConnection, data| {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -13,12 +14,14 @@
 pub struct Metrics {
     admissions: Counter<u64>,
     call_ms: Histogram<f64>,
+    caller_connections: Gauge<u64>,
     centre_cut_offs: Counter<u64>,
     connection_errors: Counter<u64>,
     control_bytes: Counter<u64>,
     crash_reports: Counter<u64>,
     disconnected_calls: Counter<u64>,
     first_token_ms: Histogram<f64>,
+    idle_connections_closed: Counter<u64>,
     interrupted_streams: Counter<u64>,
     invariant_violations: Counter<u64>,
     outcomes: Counter<u64>,
@@ -58,6 +61,7 @@
                     10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0, 6_400.0,
                 ])
                 .build(),
+            caller_connections: meter.u64_gauge("caller_connections").build(),
             centre_cut_offs: meter.u64_counter("centre_cut_offs").build(),
             connection_errors: meter.u64_counter("connection_errors").build(),
             control_bytes: meter.u64_counter("control_bytes").build(),
@@ -69,6 +73,7 @@
                     50.0, 100.0, 200.0, 400.0, 800.0, 1_200.0, 2_400.0, 4_800.0,
                 ])
                 .build(),
+            idle_connections_closed: meter.u64_counter("idle_connections_closed").build(),
             interrupted_streams: meter.u64_counter("interrupted_streams").build(),
             invariant_violations: meter.u64_counter("invariant_violations").build(),
             outcomes: meter.u64_counter("outcomes").build(),
@@ -100,6 +105,13 @@
         self.call_ms.record(elapsed.as_secs_f64() * 1_000.0, &[]);
     }
 
+    /// Records the number of open connections of callers, and counts those of them that are closed
+    /// because they were idle for too long.
+    pub fn caller_connections(&self, open: u64, expired: u64) {
+        self.caller_connections.record(open, &[]);
+        self.idle_connections_closed.add(expired, &[]);
+    }
+
     /// Counts a data centre that was marked as cut off.
     pub fn centre_cut_off(&self) {
         self.centre_cut_offs.add(1, &[]);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -137,6 +137,9 @@
     pub accounts: Vec<AccountPolicy>,
     /// Maximum length of a request body in bytes; 0 for no limit.
     pub body_max_bytes: usize,
+    /// Time after which a caller's connection without a call is closed; `None` for
+    /// [`CALLER_IDLE_TIMEOUT`].
+    pub caller_idle_timeout: Option<Duration>,
     /// Routes by host, longest prefix first.
     routes: HashMap<SmolStr, Vec<Arc<PolicyRoute>>>,
     services: HashMap<ServiceName, Arc<ServicePolicy>>,
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -89,7 +89,7 @@
     pub connections: Rc<ConnectionPool>,
     /// Servers whose connections broke and that may have ended.
     pub broken_servers: RefCell<BrokenServers>,
-    /// Open connections of callers, by a number in the order of their acceptance; for the log.
+    /// Open connections of callers, by a number in the order of their acceptance.
     pub(crate) callers: RefCell<BTreeMap<u64, Weak<ConnectionTrace>>>,
     /// Counts how often a data centre became unreachable or reachable again; wakes the tasks that
     /// wait for such a change.
@@ -380,6 +380,36 @@
         gets_usage && self.reads_log()
     }
 
+    /// Closes the connections of callers that have been idle for longer than the policy allows, in
+    /// force at `now` since boot. Has to be called regularly: a connection counts as idle from the
+    /// first call that finds it so.
+    pub fn close_idle_callers(&self, now: Duration) {
+        let timeout = self
+            .policy
+            .borrow()
+            .in_force()
+            .map_or(CALLER_IDLE_TIMEOUT, |policy| {
+                policy.caller_idle_timeout.unwrap_or(CALLER_IDLE_TIMEOUT)
+            });
+        let callers = self.callers.borrow();
+        let mut expired = 0;
+        for connection in callers.values() {
+            let Some(connection) = connection.upgrade() else {
+                continue;
+            };
+            expired += u64::from(connection.expire(now, timeout));
+        }
+        self.metrics
+            .caller_connections(callers.len() as u64, expired);
+        if expired > 0 {
+            info!(
+                "idle connections={} closed={expired} timeout_ms={}",
+                callers.len(),
+                timeout.as_millis()
+            );
+        }
+    }
+
     /// Returns true if orders for servers of a service have to wait for the end of a rollout.
     pub fn defers_capacity(&self, now: Duration, service: &ServiceName) -> bool {
         let fleet = self.fleet.borrow();
--- a/src/serving_run.rs
+++ b/src/serving_run.rs
@@ -63,8 +63,8 @@
 /// usually takes to deliver one.
 const ADOPT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval at which expired idle connections to servers are closed.
-const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which expired idle connections of callers and to servers are closed.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Platform-specific parts of an instance.
 pub struct ServingParts {
@@ -523,5 +523,6 @@
     while !shutdown.is_cancelled() {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         serving.connections.close_expired();
+        serving.close_idle_callers(boot_time());
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -12,6 +12,8 @@
 mod budget;
 #[path = "decisions/byte_budget.rs"]
 mod byte_budget;
+#[path = "decisions/caller_idle.rs"]
+mod caller_idle;
 #[path = "decisions/capacity.rs"]
 mod capacity;
 #[path = "decisions/engine_replay.rs"]
