Bound the read buffer that a caller's connection keeps

Cause: the HTTP library reads all that has arrived into one buffer before it consumes any of it, up to 128 KiB, and keeps the buffer for as long as the connection is open.

Fix: a connection's reader gets `Pending` once for each 8 KiB, and is woken again at once, so that it consumes them before it reads on.

Also tests the own interface's edge, which closes idle connections after 5 s and did so before.

--- a/src/caller_connection.rs
+++ b/src/caller_connection.rs
@@ -13,15 +13,26 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+/// Number of bytes after which a reader gets `Pending` once, so that it consumes them before it reads
+/// on. The HTTP library keeps the buffer of a connection at the largest size that it ever had, and
+/// reads all that has arrived at once.
+const READ_TURN_BYTES: usize = 8 << 10;
+
 /// Connection that passes all operations on to a TCP connection and records them in its trace.
 pub(crate) struct CallerConnection {
+    /// Number of bytes read since the last `Pending`.
+    read_turn_bytes: usize,
     stream: TcpStream,
     pub(crate) trace: Rc<ConnectionTrace>,
 }
 
 impl CallerConnection {
     pub(crate) fn new(stream: TcpStream, trace: Rc<ConnectionTrace>) -> Self {
-        Self { stream, trace }
+        Self {
+            read_turn_bytes: 0,
+            stream,
+            trace,
+        }
     }
 }
 
@@ -31,6 +42,11 @@
         cx: &mut std::task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let read_turn_bytes = std::mem::take(&mut self.read_turn_bytes);
+        if read_turn_bytes >= READ_TURN_BYTES {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let filled = buffer.filled().len();
         let has_room = buffer.remaining() > 0;
         let result = match Pin::new(&mut self.stream).poll_read(cx, buffer) {
@@ -44,6 +60,7 @@
             },
         };
         let count = result.map(|()| buffer.filled().len() - filled);
+        self.read_turn_bytes = read_turn_bytes + *count.as_ref().unwrap_or(&0);
         if has_room {
             self.trace.record_read(&count);
         }
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -250,3 +253,24 @@
     let failed = sent.err().expect("the server does not answer in time");
     assert_ne!(failed.failure, Failure::Broken, "{}", failed.reason);
 }
+
+// The settings of this interface have no limit for idle connections; the server library's are 5 s.
+#[yare::parameterized(
+    after_a_call = { true },
+    nothing_came = { false },
+)]
+fn idle_connection_is_not_kept_open(has_called: bool) {
+    let cluster = TestClusterBuilder::default().start();
+    let mut stream = TcpStream::connect(cluster.entries[0].caller_address()).unwrap();
+    let limit = Some(Duration::from_secs(10));
+    stream.set_read_timeout(limit).unwrap();
+    if has_called {
+        let (name, value) = bearer("quayside");
+        let request = format!("GET /lookups/7 HTTP/1.1\r\nHost: e\r\n{name}: {value}\r\n\r\n");
+        stream.write_all(request.as_bytes()).unwrap();
+    }
+    let mut received = Vec::new();
+    assert!(stream.read_to_end(&mut received).is_ok());
+    let text = String::from_utf8_lossy(&received);
+    assert_eq!(text.contains("x-served-by"), has_called, "{text}");
+}
