End a forwarded body at its deadline although its server never pauses

Cause: `PassThrough` took from the time left only what passed inside its reads of the server's connection. A server that has always sent more is never waited for, so the time was hardly used. The limit of 64 MiB counts the bytes of the body, of which a chunk of six bytes brings one.

With whole events or comments, also in small chunks, streams ended in time before too: they wait for the time itself, and reads yield.

Fix: the deadline is a time, moved only by the time for which writes to the caller had to wait for the caller to read, which the connection now measures. It is checked before each read, since a timer is not polled while reads are ready at once.

--- a/src/call_trace.rs
+++ b/src/call_trace.rs
@@ -37,6 +37,8 @@
 /// caller's connection ended or the process stops, its `finish` line is logged then.
 pub(crate) struct CallTrace {
     connection: Rc<ConnectionTrace>,
+    /// Time for which writes to the connection had waited when the call began.
+    earlier_write_wait: Duration,
     ended: Cell<bool>,
     /// Number of whole events that were forwarded to the caller.
     pub(crate) events_forwarded: Cell<u64>,
@@ -57,6 +59,7 @@
     pub(crate) fn start(serving: &Rc<ServingState>, connection: Rc<ConnectionTrace>) -> Rc<Self> {
         let now = TokioInstant::now();
         let trace = Rc::new(Self {
+            earlier_write_wait: connection.write_wait(),
             connection,
             ended: Cell::new(false),
             events_forwarded: Cell::new(0),
@@ -77,6 +80,11 @@
         self.request_id.get().map_or("", |id| id.as_str())
     }
 
+    /// Total time for which the response has had to wait for the caller to read it.
+    pub(crate) fn write_wait(&self) -> Duration {
+        self.connection.write_wait() - self.earlier_write_wait
+    }
+
     /// Records the server of an attempt that begins.
     pub(crate) fn begin_attempt(&self, server: &ServerName) {
         self.stage.set(CallStage::Attempt);
--- a/src/connection_trace.rs
+++ b/src/connection_trace.rs
@@ -11,6 +11,7 @@
 use std::task::Poll;
 
 use futures_util::task::AtomicWaker;
+use tokio::time::Instant as TokioInstant;
 
 /// Side that closed a caller's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,8 +92,10 @@
     read_bytes: Cell<u64>,
     /// Wakes the task that reads from the connection.
     reader: AtomicWaker,
-    /// True if the caller reads more slowly than bytes are written.
-    write_blocked: Cell<bool>,
+    /// Total time of the writes that had to wait for the caller to read and no longer do.
+    write_wait: Cell<Duration>,
+    /// Time since which a write waits for the caller to read.
+    write_waits_since: Cell<Option<TokioInstant>>,
     written_bytes: Cell<u64>,
 }
 
@@ -108,7 +111,8 @@
             peer,
             read_bytes: Cell::new(0),
             reader: AtomicWaker::new(),
-            write_blocked: Cell::new(false),
+            write_wait: Cell::default(),
+            write_waits_since: Cell::default(),
             written_bytes: Cell::new(0),
         }
     }
@@ -117,7 +121,7 @@
     fn activity(&self) -> ConnectionActivity {
         let is_busy = match self.unanswered() {
             Some(Unanswered::Call(_) | Unanswered::Response(_)) => true,
-            Some(Unanswered::Bytes(_)) | None => self.write_blocked.get(),
+            Some(Unanswered::Bytes(_)) | None => self.write_waits_since.get().is_some(),
         };
         ConnectionActivity {
             bytes: self.read_bytes.get() + self.written_bytes.get(),
@@ -162,10 +166,16 @@
 
     /// Records the result of a write to the caller; `Pending` if the caller has to read first.
     pub(crate) fn record_write(&self, result: &Poll<std::io::Result<usize>>) {
-        self.write_blocked.set(result.is_pending());
+        let waits_since = self.write_waits_since.get();
         let Poll::Ready(result) = result else {
+            let since = waits_since.unwrap_or_else(TokioInstant::now);
+            self.write_waits_since.set(Some(since));
             return;
         };
+        if let Some(since) = waits_since {
+            self.write_wait.set(self.write_wait.get() + since.elapsed());
+            self.write_waits_since.set(None);
+        }
         match result {
             Ok(count) => self
                 .written_bytes
@@ -174,6 +184,12 @@
         }
     }
 
+    /// Total time for which writes have had to wait for the caller to read.
+    pub(crate) fn write_wait(&self) -> Duration {
+        let current_wait = self.write_waits_since.get().map(|since| since.elapsed());
+        self.write_wait.get() + current_wait.unwrap_or_default()
+    }
+
     /// Side that closed the connection, as far as is known: the caller, once a read or write has
     /// shown it.
     pub(crate) fn closed_by(&self) -> ClosedBy {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -716,6 +716,12 @@
         }
     }
 
+    /// Time at which a response that is being forwarded has to be complete: the caller's deadline,
+    /// moved by the time for which the caller has not read so far.
+    pub(crate) fn response_deadline(&self) -> TokioInstant {
+        self.deadline + self.trace.write_wait()
+    }
+
     /// Reads the body of a refusal so that its connection can be reused. The connection is closed
     /// if the body does not end in time or is too large.
     async fn drain_refusal(&self, mut body: ServerResponseBody) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -109,6 +109,7 @@
 use crate::classify::ChatRequest;
 use crate::classify::authenticate_account;
 use crate::classify::hash_account_key;
+use crate::clock::before;
 use crate::clock::boot_time;
 use crate::clock::unix_ms;
 use crate::cloud::Cloud;
--- a/src/pass_through.rs
+++ b/src/pass_through.rs
@@ -5,7 +5,9 @@
 
 use futures_util::stream::LocalBoxStream;
 use tokio::time::Instant as TokioInstant;
-use tokio::time::timeout;
+
+/// Minimum time after which a deadline that has moved is checked again.
+const DEADLINE_STEP_MIN: Duration = Duration::from_millis(50);
 
 /// Forwards the body of one response.
 pub(crate) struct PassThrough {
@@ -15,17 +17,14 @@
     ended: bool,
     exchange: Exchange,
     forwarded_bytes: usize,
-    /// Time left to wait for the server. Time in which the caller does not read is not counted.
-    server_time: Duration,
     status: u16,
 }
 
 impl PassThrough {
     /// Returns the body of the caller's response. The call counts as in flight until the returned
     /// stream is dropped. The stream fails if the server's connection breaks, at
-    /// [`RESPONSE_MAX_BYTES`], and once it has waited for the server as long as the call had left;
-    /// the caller's connection is then closed, so that the response cannot be mistaken for a
-    /// complete one.
+    /// [`RESPONSE_MAX_BYTES`], and at [`Exchange::response_deadline`]; the caller's connection is
+    /// then closed, so that the response cannot be mistaken for a complete one.
     pub(crate) fn start(
         exchange: Exchange,
         attempt: Attempt,
@@ -38,7 +37,6 @@
             attempt,
             body,
             ended: false,
-            server_time: exchange.deadline - TokioInstant::now(),
             exchange,
             forwarded_bytes: 0,
             status,
@@ -54,12 +52,8 @@
             self.count_part(&part);
             return Some((Ok(part), self));
         }
-        let rest = self.body.rest.as_mut()?;
-        let waits_since = TokioInstant::now();
-        let read = timeout(self.server_time, rest.next()).await;
-        self.server_time = self.server_time.saturating_sub(waits_since.elapsed());
-        let reason = match read {
-            Ok(Some(Ok(part))) => {
+        let reason = match self.read_rest().await {
+            Some(Some(Ok(part))) => {
                 let placed = &self.attempt.placed;
                 record_received(&self.exchange.serving, &placed.data_centre, &placed.server);
                 self.count_part(&part);
@@ -69,23 +63,25 @@
                 self.attempt.outcome = AttemptOutcome::Broken;
                 too_large_reason(self.forwarded_bytes as u64)
             }
-            Ok(None) => {
+            Some(None) => {
                 self.attempt.outcome = AttemptOutcome::Completed;
                 if (200..300).contains(&self.status) {
-                    self.exchange.record_answer(rest.ends_with_connection());
+                    let rest = self.body.rest.as_ref();
+                    let ends_with_connection = rest.is_some_and(|rest| rest.ends_with_connection());
+                    self.exchange.record_answer(ends_with_connection);
                 }
                 let server = &self.attempt.placed.server;
                 self.exchange.log_finish("whole", self.status, server);
                 return None;
             }
-            Ok(Some(Err(error))) => {
+            Some(Some(Err(error))) => {
                 if error.closed {
                     self.exchange.record_broken_answer();
                 }
                 self.attempt.outcome = AttemptOutcome::Broken;
                 error.reason
             }
-            Err(_) => {
+            None => {
                 self.attempt.mark_failed();
                 format!(
                     "body did not end in time, after {} bytes",
@@ -97,6 +93,24 @@
         Some(self.finish_broken(reason))
     }
 
+    /// Reads the next part of the body, until the response has to be complete (`None`).
+    async fn read_rest(&mut self) -> Option<Option<Result<Bytes, ServerCallError>>> {
+        let rest = self.body.rest.as_mut()?;
+        let mut deadline = self.exchange.response_deadline();
+        loop {
+            if let Some(read) = before(deadline, rest.next()).await {
+                return Some(read);
+            }
+            let now = TokioInstant::now();
+            deadline = self.exchange.response_deadline();
+            if deadline <= now {
+                return None;
+            }
+            // While the caller does not read, the deadline moves as fast as the time passes.
+            deadline = deadline.max(now + DEADLINE_STEP_MIN);
+        }
+    }
+
     fn count_part(&mut self, part: &Bytes) {
         self.forwarded_bytes += part.len();
         self.exchange.trace.count_response_bytes(part.len());
