--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -27,19 +27,35 @@
 /// First event of a model's stream.
 const FIRST_EVENT: &str = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
 
-/// Starts a server that sends `head` for every request, then `first`, then `piece` again and again.
+/// Size of a chunk of a body that the buffers of two connections do not hold.
+const LARGE_CHUNK_BYTES: usize = 1 << 20;
+
+/// Number of pieces that a server writes at once if it makes no pauses.
+const PIECES_PER_WRITE: usize = 10_000;
+
+/// Starts a server that sends `head` for every request, then `first`, then `piece` again and again,
+/// with a pause after each.
 fn start_endless(head: &'static str, first: &'static str, piece: &'static str) -> SocketAddr {
+    start_endless_with(head, first, piece, true)
+}
+
+fn start_endless_with(
+    head: &'static str,
+    first: &'static str,
+    piece: &'static str,
+    has_pauses: bool,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            thread::spawn(move || send_endless(stream, head, first, piece));
+            thread::spawn(move || send_endless(stream, head, first, piece, has_pauses));
         }
     });
     address
 }
 
-fn send_endless(mut stream: TcpStream, head: &str, first: &str, piece: &str) {
+fn send_endless(mut stream: TcpStream, head: &str, first: &str, piece: &str, has_pauses: bool) {
     let mut request = [0; 4 << 10];
     if stream.read(&mut request).unwrap_or(0) == 0 {
         return;
@@ -50,10 +66,13 @@
     if stream.write_all(start.as_bytes()).is_err() {
         return;
     }
-    let chunk = chunk(piece);
+    let (chunks, pause) = match has_pauses {
+        true => (chunk(piece), PAUSE),
+        false => (chunk(piece).repeat(PIECES_PER_WRITE), Duration::ZERO),
+    };
     let started_at = Instant::now();
-    while started_at.elapsed() < ENDLESS_MAX_TIME && stream.write_all(chunk.as_bytes()).is_ok() {
-        thread::sleep(PAUSE);
+    while started_at.elapsed() < ENDLESS_MAX_TIME && stream.write_all(chunks.as_bytes()).is_ok() {
+        thread::sleep(pause);
     }
 }
 
@@ -126,14 +145,20 @@
     assert!(reply.unwrap().status >= 400);
 }
 
-/// Sends a lookup and returns all bytes of the response until the connection is closed.
-fn look_up(cluster: &TestCluster) -> Vec<u8> {
+/// Sends a lookup and returns its connection.
+fn start_look_up(cluster: &TestCluster) -> TcpStream {
     let mut stream = TcpStream::connect(cluster.entries[0].caller_address()).unwrap();
     let (name, value) = bearer("quayside");
     let request = format!(
         "GET /lookups/7 HTTP/1.1\r\nHost: e\r\n{name}: {value}\r\nConnection: close\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).unwrap();
+    stream
+}
+
+/// Sends a lookup and returns all bytes of the response until the connection is closed.
+fn look_up(cluster: &TestCluster) -> Vec<u8> {
+    let mut stream = start_look_up(cluster);
     let mut response = Vec::new();
     // A reset ends the response like a close.
     let _ = stream.read_to_end(&mut response);
@@ -155,6 +180,53 @@
     assert!(!looks_complete(&response));
 }
 
+// A server that has always sent more used up none of the time that was left to wait for it.
+#[test]
+fn endless_body_without_pauses_does_not_hold_its_caller() {
+    let cluster = start_cluster_with(start_endless_with("200 OK", "x", "x", false));
+    let started_at = Instant::now();
+    let response = look_up(&cluster);
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < Duration::from_secs(6), "{elapsed:?}");
+    assert!(!looks_complete(&response));
+}
+
+// The caller begins to read after the route's timeout of 2 s.
+#[test]
+fn large_body_whose_caller_reads_late_is_not_cut() {
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n",
+        format!(
+            "{LARGE_CHUNK_BYTES:x}\r\n{}\r\n",
+            "x".repeat(LARGE_CHUNK_BYTES)
+        )
+        .repeat(20)
+    );
+    let cluster = start_cutting_cluster("GET", answer);
+    let mut stream = start_look_up(&cluster);
+    thread::sleep(Duration::from_secs(4));
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).unwrap();
+    assert!(response.len() > 20 * LARGE_CHUNK_BYTES);
+    assert!(looks_complete(&response));
+}
+
+#[yare::parameterized(
+    comments = { ": note\n\n" },
+    data = { "data: " },
+)]
+fn endless_stream_without_pauses_does_not_hold_its_caller(piece: &'static str) {
+    let address = start_endless_with("200 OK", FIRST_EVENT, piece, false);
+    let cluster = start_cluster_with(address);
+    let url = cluster.url(0, "/v1/chat/completions");
+    let body = chat_body("quote", false, 20);
+    let started_at = Instant::now();
+    let reply = block_on(try_send("POST", &url, &[bearer("quayside")], body));
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < Duration::from_secs(15), "{elapsed:?}");
+    assert!(reply.unwrap().status >= 400);
+}
+
 /// Starts a cluster whose server answers requests of one method with `answer` and closes all
 /// connections.
 fn start_cutting_cluster(method: &'static str, answer: String) -> TestCluster {
