Reject answers whose status is not one of HTTP

What callers saw: a server's answer with status 600 or 999 was forwarded as an answer, on the platform's edge and the own interface's (`whole`). Answers with status 000 or 099 were not: the codec refuses them, and callers get 502.

Cause: the HTTP library accepts statuses of three digits up to 999, and nothing else looked at the range.

Fix: an answer with a status above 599 counts as malformed in `connection_pool`, through which plain calls of both edges and streams of the platform's pass. Model calls of the own interface failed on such a status before.

--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -52,6 +52,9 @@
 /// Maximum size of the head of a response. A server that sends more without ending it is faulty.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 
+/// Highest status of HTTP. The codec also accepts higher ones of three digits, but none below 100.
+const STATUS_MAX: u16 = 599;
+
 /// Maximum number of informational (1xx) heads before the response to a call.
 const INFORMATIONAL_HEADS_MAX: u32 = 64;
 
@@ -464,6 +467,12 @@
             let decoded = self.codec.decode(&mut self.buffer);
             match decoded.map_err(ServerCallError::maybe_run)? {
                 Some(head) if head.status.is_informational() => self.informational_heads += 1,
+                Some(head) if head.status.as_u16() > STATUS_MAX => {
+                    return Err(ServerCallError::maybe_run(format!(
+                        "status {} is not one of HTTP (100 to {STATUS_MAX}); check the server",
+                        head.status.as_u16()
+                    )));
+                }
                 Some(head) => return Ok(head),
                 None => self.read_before_body().await?,
             }
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -78,19 +78,7 @@
 
 /// Starts a cluster in which one server that never ends its responses serves all calls.
 fn start_cluster(head: &'static str, first: &'static str, piece: &'static str) -> TestCluster {
-    start_cluster_with(start_endless(head, first, piece))
-}
-
-/// Starts a cluster in which the server at `address` serves all calls.
-fn start_cluster_with(address: SocketAddr) -> TestCluster {
-    let cluster = TestClusterBuilder::default().engines(0).start();
-    let mut table = cluster.table.clone();
-    let server = table.backend_server.first_mut().unwrap();
-    server.address = address.to_string();
-    server.serves.push(format!("{MODEL}@v1"));
-    let version = publish_table(&cluster.platform_url, &table);
-    cluster.wait_for_version(version);
-    cluster
+    start_cluster_at(start_endless(head, first, piece))
 }
 
 #[test]
@@ -183,7 +171,7 @@
 // A server that has always sent more used up none of the time that was left to wait for it.
 #[test]
 fn endless_body_without_pauses_does_not_hold_its_caller() {
-    let cluster = start_cluster_with(start_endless_with("200 OK", "x", "x", false));
+    let cluster = start_cluster_at(start_endless_with("200 OK", "x", "x", false));
     let started_at = Instant::now();
     let response = look_up(&cluster);
     let elapsed = started_at.elapsed();
@@ -217,7 +205,7 @@
 )]
 fn endless_stream_without_pauses_does_not_hold_its_caller(piece: &'static str) {
     let address = start_endless_with("200 OK", FIRST_EVENT, piece, false);
-    let cluster = start_cluster_with(address);
+    let cluster = start_cluster_at(address);
     let url = cluster.url(0, "/v1/chat/completions");
     let body = chat_body("quote", false, 20);
     let started_at = Instant::now();
@@ -241,7 +229,7 @@
             }
         }
     });
-    start_cluster_with(address)
+    start_cluster_at(address)
 }
 
 const CUT_CHUNKED: &str = "Transfer-Encoding: chunked\r\n\r\n5\r\nhalf \r\n";
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -292,6 +292,18 @@
     TestEngine { engine, server }
 }
 
+/// Starts a cluster in which the server at `address` serves all calls.
+pub fn start_cluster_at(address: SocketAddr) -> TestCluster {
+    let cluster = TestClusterBuilder::default().engines(0).start();
+    let mut table = cluster.table.clone();
+    let server = table.backend_server.first_mut().unwrap();
+    server.address = address.to_string();
+    server.serves.push(format!("{MODEL}@v1"));
+    let version = publish_table(&cluster.platform_url, &table);
+    cluster.wait_for_version(version);
+    cluster
+}
+
 /// Starts a server that answers each `POST` with the bytes that `answer` returns, of which the
 /// argument is the number of earlier ones, and then closes the connection. Returns its address and
 /// the number of these calls.
