Do not panic if a connection's write wait seems to decrease

Cause: subtracting a longer duration from a shorter one panics. The wait only grows, so this is not known to happen; a panic would end all calls of the instance. Changed: the difference saturates.

--- a/src/call_trace.rs
+++ b/src/call_trace.rs
@@ -82,7 +82,8 @@
 
     /// Total time for which the response has had to wait for the caller to read it.
     pub(crate) fn write_wait(&self) -> Duration {
-        self.connection.write_wait() - self.earlier_write_wait
+        let write_wait = self.connection.write_wait();
+        write_wait.saturating_sub(self.earlier_write_wait)
     }
 
     /// Records the server of an attempt that begins.
