Say what a connection's trace and the idle time are for

Cause: comments described what the modules did before, or left out who calls them. Changed: comments only. Measured: nothing, as no code changes.

--- a/src/caller_connection.rs
+++ b/src/caller_connection.rs
@@ -14,8 +14,8 @@
 use tokio::net::TcpStream;
 
 /// Number of bytes after which a reader gets `Pending` once, so that it consumes them before it reads
-/// on. The HTTP library keeps the buffer of a connection at the largest size that it ever had, and
-/// reads all that has arrived at once.
+/// on. The HTTP library reads all that has arrived into one buffer, and keeps that buffer at the largest
+/// size that it ever had.
 const READ_TURN_BYTES: usize = 8 << 10;
 
 /// Connection that passes all operations on to a TCP connection and records them in its trace.
@@ -52,6 +52,7 @@
         let result = match Pin::new(&mut self.stream).poll_read(cx, buffer) {
             Poll::Ready(result) => result,
             Poll::Pending if !self.trace.wait_for_bytes(cx) => return Poll::Pending,
+            // A read of no bytes ends the connection.
             Poll::Pending => match read_without_readiness(&self.stream, buffer) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Poll::Ready(Ok(()));
--- a/src/caller_idle.rs
+++ b/src/caller_idle.rs
@@ -1,7 +1,8 @@
 //! When a caller's connection that has no call in progress is closed.
 //!
-//! Connections are observed at intervals rather than timed one by one, so that a call costs nothing
-//! here and an edit of the timeout also holds for connections that are already open.
+//! Connections are observed at intervals ([`ServingState::close_idle_callers`]) rather than timed one by
+//! one, so that a call costs nothing here and an edit of the timeout also holds for connections that are
+//! already open.
 
 use super::*;
 
--- a/src/connection_trace.rs
+++ b/src/connection_trace.rs
@@ -1,5 +1,6 @@
-//! State of one caller's connection for the log, so that a request that was read and not answered
-//! can be traced when the connection ends.
+//! State of one caller's connection: for the log, so that a request that was read and not answered
+//! can be traced when the connection ends; and what has to be known to close it when it is idle, and to
+//! leave out the time for which its caller does not read.
 
 use super::*;
 
--- a/src/serving.rs
+++ b/src/serving.rs
@@ -380,9 +380,9 @@
         gets_usage && self.reads_log()
     }
 
-    /// Closes the connections of callers that have been idle for longer than the policy allows, in
-    /// force at `now` since boot. Has to be called regularly: a connection counts as idle from the
-    /// first call that finds it so.
+    /// Closes the connections of callers that have been idle for longer than the policy in force
+    /// allows. `now` is the time since boot. Has to be called regularly: a connection counts as idle
+    /// from the first call that finds it so.
     pub fn close_idle_callers(&self, now: Duration) {
         let timeout = self
             .policy
