--- a/src/caller_idle.rs
+++ b/src/caller_idle.rs
@@ -6,7 +6,8 @@
 
 use super::*;
 
-/// Time after which an idle connection of a caller is closed if the policy sets none.
+/// Time after which an idle connection of a caller is closed if the policy sets none. Callers reuse a
+/// connection for less than the timeout, so that they send no request while it is being closed.
 pub const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// State of a caller's connection when it is observed.
