--- a/review/src-3/instance.rs
+++ b/review/src-3/instance.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
-use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -12,11 +11,13 @@
 /// Command of the deploy file, from the root of the repository.
 const PROGRAM: &str = "target/release/ebonyspread-platform";
 
+/// Signals that stop a process and continue it, on Linux.
+pub const STOP: i32 = 19;
+pub const CONTINUE: i32 = 18;
+
 pub struct Instance {
     pub callers: SocketAddr,
     child: Child,
-    folder: PathBuf,
-    name: String,
 }
 
 impl Instance {
@@ -26,31 +27,28 @@
         let path = folder.join(format!("{name}.toml"));
         std::fs::write(&path, settings).expect("a writable temporary folder");
         let child = spawn(folder, name);
-        Self {
-            callers,
-            child,
-            folder: folder.to_owned(),
-            name: name.to_owned(),
-        }
+        Self { callers, child }
+    }
+
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
     }
 
-    /// Resident memory in bytes; `None` once the process has ended.
-    pub fn memory_bytes(&self) -> Option<u64> {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = text.lines().find(|line| line.starts_with("VmRSS:"))?;
-        let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(kib * 1024)
+    /// Sends a signal to the process of an instance.
+    pub fn signal(process: u32, signal: i32) {
+        unsafe extern "C" {
+            fn kill(process: i32, signal: i32) -> i32;
+        }
+        // SAFETY: `kill` of the C library takes two integers and has no further conditions.
+        unsafe {
+            kill(process as i32, signal);
+        }
     }
 
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// Starts the process again, with the same settings.
-    pub fn restart(&mut self) {
-        self.child = spawn(&self.folder, &self.name);
-    }
 }
 
 impl Drop for Instance {
--- a/review/src-3/main.rs
+++ b/review/src-3/main.rs
@@ -1,17 +1,18 @@
 //! Cases of the third review that are no day of the bench.
 
-mod client;
-mod configurations;
 mod crashes;
 mod crashing_worker;
+mod floods;
 mod http;
 mod instance;
+mod link;
 mod store;
-mod worker;
 
 use std::path::PathBuf;
 use std::process::exit;
 
+use floods::Flood;
+
 /// Runs the case that the first argument names; the second one is its folder, for `record.txt`, and
 /// the third one a temporary folder.
 fn main() {
@@ -28,7 +29,8 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let (record, temporary) = (PathBuf::from(record), PathBuf::from(temporary));
     let code = match case.as_str() {
-        "configurations" => configurations::run(has_trouble, &record, &temporary),
+        "bodies" => floods::run(Flood::Bodies, has_trouble, &record, &temporary),
+        "streams" => floods::run(Flood::Streams, has_trouble, &record, &temporary),
         "crashes" => crashes::run(has_trouble, &record, &temporary),
         _ => {
             eprintln!("unknown case {case}");
