--- a/review/src-3/crashes.rs
+++ b/review/src-3/crashes.rs
@@ -19,6 +19,9 @@
 use crate::instance::Instance;
 use crate::store::Store;
 
+/// Workers of the service, one of which crashes at a time (`srv_crash`, share 0.25).
+const WORKERS: usize = 4;
+
 /// Rounds; in each one request of each kind meets a crash.
 const ROUNDS: usize = 5;
 
@@ -46,7 +49,9 @@
     let store = Store::start();
     store.put("keyed.op", "config", configuration().as_bytes());
     let instance = Instance::start("front-1", store.address, temporary);
-    let mut worker = start_worker(&store);
+    let mut workers: Vec<Process> = (1..=WORKERS)
+        .map(|number| start_worker(&store, number))
+        .collect();
     sleep(Duration::from_secs(3));
     let (mut answered, mut broken) = (0, 0);
     for round in 1..=ROUNDS {
@@ -55,15 +60,17 @@
             let is_stream = kind.ends_with("stream");
             let whole: String = (1..=PARTS).map(|number| part(is_stream, number)).collect();
             let asking = ask(instance.callers, path, &id);
+            let mut crashed = None;
             if has_trouble {
-                worker.wait_for(&id, PARTS_SENT);
-                worker.kill();
+                crashed = crash_one(&mut workers, &id);
             }
             let answer = asking.join().ok().flatten();
+            if let Some(index) = crashed {
+                workers[index] = start_worker(&store, index + 1);
+                sleep(Duration::from_millis(2_500));
+            }
             let Some(answer) = answer else {
                 let _ = writeln!(record, "{id} {kind}: closed without an answer");
-                worker = start_worker(&store);
-                sleep(Duration::from_millis(2_500));
                 continue;
             };
             answered += 1;
@@ -81,10 +88,6 @@
                     false => "held",
                 }
             );
-            if has_trouble {
-                worker = start_worker(&store);
-                sleep(Duration::from_millis(2_500));
-            }
         }
     }
     let _ = writeln!(record, "answers={answered} broken={broken}");
@@ -100,9 +103,25 @@
     }
 }
 
-/// Starts the worker and registers it as one that starts again under the id that it had.
-fn start_worker(store: &Store) -> Process {
-    let worker = Process::start("i-1");
+/// Waits until a worker has sent some parts of a request's answer, kills it and returns its index;
+/// `None` if none of them has within a second.
+fn crash_one(workers: &mut [Process], request: &str) -> Option<usize> {
+    for _ in 0..100 {
+        for (index, worker) in workers.iter_mut().enumerate() {
+            if worker.has_sent(request, PARTS_SENT) {
+                worker.kill();
+                return Some(index);
+            }
+        }
+        sleep(Duration::from_millis(10));
+    }
+    None
+}
+
+/// Starts a worker and registers it as one that starts again under the id that it had.
+fn start_worker(store: &Store, number: usize) -> Process {
+    let id = format!("i-{number}");
+    let worker = Process::start(&id);
     let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let born = born.map_or(0, |since| since.as_millis());
     let entry = format!(
@@ -110,7 +129,7 @@
          \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":{born}}}",
         worker.address
     );
-    store.put("keyed.servers", "i-1", entry.as_bytes());
+    store.put("keyed.servers", &id, entry.as_bytes());
     worker
 }
 
--- a/review/src-3/crashing_worker.rs
+++ b/review/src-3/crashing_worker.rs
@@ -8,9 +8,10 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::process::Child;
-use std::process::ChildStdout;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
@@ -27,7 +28,7 @@
 pub struct Process {
     pub address: SocketAddr,
     child: Child,
-    output: BufReader<ChildStdout>,
+    reports: Arc<Mutex<Vec<String>>>,
 }
 
 impl Process {
@@ -43,23 +44,24 @@
         let mut line = String::new();
         output.read_line(&mut line).expect("an address");
         let address = line.trim().parse().expect("an address");
+        let reports: Arc<Mutex<Vec<String>>> = Arc::default();
+        let collected = reports.clone();
+        thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                collected.lock().expect("reports lock").push(line);
+            }
+        });
         Self {
             address,
             child,
-            output,
+            reports,
         }
     }
 
-    /// Waits until the worker has sent a number of parts of a request's answer.
-    pub fn wait_for(&mut self, request: &str, parts: usize) {
-        let expected = format!("{request} {parts}");
-        let mut line = String::new();
-        while line.trim() != expected {
-            line.clear();
-            if self.output.read_line(&mut line).unwrap_or(0) == 0 {
-                return;
-            }
-        }
+    /// Returns true if the worker has sent a number of parts of a request's answer.
+    pub fn has_sent(&self, request: &str, parts: usize) -> bool {
+        let reports = self.reports.lock().expect("reports lock");
+        reports.contains(&format!("{request} {parts}"))
     }
 
     pub fn kill(&mut self) {
